--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,47 @@
+//! Steady time in seconds, and the drift margins that leases need.
+
+use std::sync::OnceLock;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Seconds on the steady clock since this process first asked.
+pub type Secs = f64;
+
+/// How far two steady clocks may drift apart, as the protocol states it.
+pub const DRIFT: f64 = 0.0005;
+
+/// The steady clock.
+pub fn now() -> Secs {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_secs_f64()
+}
+
+/// Milliseconds of the time of day (only ever used for ordering and age).
+pub fn day_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// A span that has certainly passed on any other clock once it has passed
+/// here: used before something of somebody else's is declared over.
+pub fn surely(span: Secs) -> Secs {
+    span * (1.0 + 4.0 * DRIFT) + 0.2
+}
+
+/// How long a lease of `span` may be relied upon by its own holder,
+/// measured from the sending of the renewal.
+pub fn usable(span: Secs) -> Secs {
+    span * 0.9
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The holder must stop before anybody else may start.
+    #[test]
+    fn holder_gives_up_before_others_take_over() {
+        for span in [0.5, 8.8, 31.0, 600.0] {
+            assert!(usable(span) * (1.0 + DRIFT) < span);
+            assert!(surely(span) > span * (1.0 + DRIFT));
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/leading.rs
@@ -0,0 +1,496 @@
+//! What only the leader does: dealing, committing what is finished, renting,
+//! returning and replacing machines, and keeping the roster.
+
+use super::{Controller, Tag};
+use crate::clock::{self, Secs};
+use crate::cloud;
+use crate::jobs::{chunk_key, job_key, machine_key, JobRecord, RosterRecord, CATALOG_KEY};
+use crate::rent::{self, Booting, InUse, Offer, LEAST_CHARGE_S};
+use crate::state::{Op, Outcome, Write};
+use crate::wire::{JobId, Listed, MachineId, RentRequest, Shape};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+/// The leader's dealings with the cloud.
+#[derive(Debug, Default)]
+pub(crate) struct Renting {
+    counter: u64,
+    /// Requests without a certain answer yet, and when to ask again.
+    open: HashMap<String, (RentRequest, Secs, bool)>,
+    blocked: HashMap<Offer, (Secs, u32)>,
+    /// Roster writes under way.
+    writing: HashMap<MachineId, Secs>,
+    /// Deletions under way, and those answered.
+    deleting: HashMap<MachineId, Secs>,
+    deleted: HashMap<MachineId, Secs>,
+    listed_at: HashMap<MachineId, Secs>,
+    stray_since: HashMap<MachineId, Secs>,
+    list_due: Secs,
+    catalog_due: Secs,
+    catalog_pending: bool,
+    list_pending: bool,
+    rented_at: Secs,
+    /// Rented by this leader, on their way to the roster.
+    fresh: HashMap<MachineId, RosterRecord>,
+}
+
+impl Renting {
+    /// This node leads from now on.
+    pub(super) fn lead(&mut self, _now: Secs) {
+        self.writing.clear();
+        self.list_due = 0.0;
+        self.list_pending = false;
+    }
+    pub(super) fn forget(&mut self, id: &MachineId) {
+        self.writing.remove(id);
+        self.deleting.remove(id);
+        self.listed_at.remove(id);
+        self.fresh.remove(id);
+    }
+    pub(super) fn written(&mut self, id: &MachineId, now: Secs) {
+        // Until the mirror shows it, no second write of the same machine.
+        self.writing.insert(id.clone(), now);
+    }
+    pub(super) fn catalog_written(&mut self) {
+        self.catalog_pending = false;
+    }
+}
+
+impl Controller {
+    pub(super) fn lead(&mut self, now: Secs, end: Secs) {
+        self.leader.resolve(&self.mirror, now);
+        let touched = self.leader.deal(&self.mirror, now, || clock::now() < end);
+        for part in touched {
+            self.send_orders(&part);
+        }
+        self.commit_finished(now);
+        self.keep_roster(now);
+        self.rent_and_return(now);
+    }
+
+    /// Commits what is seen done: the chunks of finished tasks, or the end of
+    /// the job. Only then may anybody call it done, or a worker forget it.
+    fn commit_finished(&mut self, now: Secs) {
+        for f in self.leader.finishes() {
+            let Some(job) = self.mirror.jobs.get(&f.job) else {
+                self.leader.finish_answered(&f.job);
+                continue;
+            };
+            let mut all = job.finished.clone();
+            for &i in &f.tasks {
+                all.add(i);
+            }
+            let mut conditions = vec![(job_key(&f.job), job.version)];
+            let mut ops = Vec::new();
+            if all.len() == job.record.tasks {
+                let record = JobRecord { spec: None, done: true, ..job.record.clone() };
+                ops.push(Op::Put {
+                    key: job_key(&f.job),
+                    value: serde_json::to_value(&record).unwrap_or_default(),
+                    lease: None,
+                });
+                let room = self.settings.params.state.txn_ops.saturating_sub(1);
+                for &chunk in job.chunks.keys().take(room) {
+                    ops.push(Op::Delete { key: chunk_key(&f.job, chunk) });
+                }
+            } else {
+                let size = self.mirror.chunk;
+                let chunks: BTreeSet<u32> = f.tasks.iter().map(|i| i / size).collect();
+                for c in chunks.into_iter().take(self.settings.params.state.txn_ops) {
+                    let len = size.min(job.record.tasks - c * size);
+                    conditions.push((chunk_key(&f.job, c), job.chunks.get(&c).copied().unwrap_or(0)));
+                    ops.push(Op::Put {
+                        key: chunk_key(&f.job, c),
+                        value: all.hex(c * size, len).into(),
+                        lease: None,
+                    });
+                }
+            }
+            let write = Write { conditions, ops, deadline: now + 2.0, tag: Tag::Finish(f.job.clone()) };
+            if self.writer.send(write).is_err() {
+                self.leader.finish_answered(&f.job);
+            }
+        }
+    }
+
+    pub(super) fn finish_written(&mut self, job: &JobId, _outcome: Outcome) {
+        // Whatever came of it, the mirror will tell; a second try with an
+        // outdated version is refused.
+        self.leader.finish_answered(job);
+    }
+
+    fn write_roster(&mut self, id: &MachineId, record: Option<RosterRecord>, now: Secs) {
+        let version = self.mirror.roster.get(id).map_or(0, |r| r.1);
+        let busy = self.renting.writing.get(id).is_some_and(|&t| now - t < 1.0);
+        if busy || (record.is_none() && version == 0) {
+            return;
+        }
+        let op = match &record {
+            Some(r) => Op::Put {
+                key: machine_key(id),
+                value: serde_json::to_value(r).unwrap_or_default(),
+                lease: None,
+            },
+            None => Op::Delete { key: machine_key(id) },
+        };
+        let write = Write {
+            conditions: vec![(machine_key(id), version)],
+            ops: vec![op],
+            deadline: now + 1.0,
+            tag: Tag::Roster(id.clone()),
+        };
+        if self.writer.send(write).is_ok() {
+            self.renting.writing.insert(id.clone(), now);
+        }
+    }
+
+    /// Brings the roster up to what is known: rented machines, machines that
+    /// report for the first time, machines that are gone.
+    fn keep_roster(&mut self, now: Secs) {
+        self.renting.writing.retain(|_, t| now - *t < 2.0);
+        let mut puts: Vec<(MachineId, RosterRecord)> = Vec::new();
+        for (id, record) in &self.renting.fresh {
+            if !self.mirror.roster.contains_key(id) {
+                puts.push((id.clone(), record.clone()));
+            }
+        }
+        for m in self.leader.machines() {
+            if !m.heard || self.renting.deleted.contains_key(&m.id) {
+                continue;
+            }
+            match self.mirror.roster.get(&m.id) {
+                Some((r, _)) if !r.up => puts.push((m.id.clone(), RosterRecord { up: true, ..r.clone() })),
+                Some(_) => {}
+                None => puts.push((
+                    m.id.clone(),
+                    RosterRecord {
+                        kind: m.kind.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        up: true,
+                        at_ms: clock::day_ms(),
+                    },
+                )),
+            }
+        }
+        for (id, record) in puts {
+            self.write_roster(&id, Some(record), now);
+        }
+        let roster = &self.mirror.roster;
+        self.renting.fresh.retain(|id, _| !roster.contains_key(id));
+        let gone: Vec<MachineId> =
+            self.renting.deleted.keys().filter(|id| roster.contains_key(*id)).cloned().collect();
+        for id in gone {
+            self.write_roster(&id, None, now);
+        }
+        let roster = &self.mirror.roster;
+        let forget = self.settings.params.cloud.list_lag_s * 4.0 + self.settings.params.workers.lease_s;
+        self.renting.deleted.retain(|id, t| now - *t < forget || roster.contains_key(id));
+    }
+
+    fn delete(&mut self, ids: Vec<MachineId>, now: Secs) {
+        let ids: Vec<MachineId> = ids
+            .into_iter()
+            .filter(|id| {
+                !self.renting.deleted.contains_key(id)
+                    && self.renting.deleting.get(id).is_none_or(|&t| now >= t)
+            })
+            .take(100)
+            .collect();
+        if ids.is_empty() {
+            return;
+        }
+        for id in &ids {
+            self.renting.deleting.insert(id.clone(), now + self.settings.params.workers.report_s * 2.0);
+        }
+        tracing::info!(?ids, "deleting machines");
+        let _ = self.cloud.try_send(cloud::Ask::Delete(ids));
+    }
+
+    fn rent_and_return(&mut self, now: Secs) {
+        let lag = self.settings.params.cloud.list_lag_s;
+        if now >= self.renting.catalog_due && self.cloud.try_send(cloud::Ask::Catalog).is_ok() {
+            self.renting.catalog_due = now + LEAST_CHARGE_S;
+        }
+        if now >= self.renting.list_due
+            && !self.renting.list_pending
+            && self.cloud.try_send(cloud::Ask::List).is_ok()
+        {
+            self.renting.list_pending = true;
+            self.renting.list_due = now + lag.max(1.0);
+        }
+        let again: Vec<RentRequest> =
+            self.renting.open.values().filter(|o| !o.2 && now >= o.1).map(|o| o.0.clone()).collect();
+        for r in again {
+            if self.cloud.try_send(cloud::Ask::Rent(r.clone())).is_ok() {
+                if let Some(o) = self.renting.open.get_mut(&r.request) {
+                    o.2 = true;
+                }
+            }
+        }
+        let Some(catalog) = self.mirror.catalog.clone() else { return };
+        let knobs = self.policy.knobs.clone();
+        let day = clock::day_ms();
+        let reported: HashSet<MachineId> =
+            self.leader.machines().filter(|m| m.heard).map(|m| m.id.clone()).collect();
+        let mut booting = Vec::new();
+        let mut never = Vec::new();
+        let mut in_use = Vec::new();
+        let mut zones: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        let known = self
+            .mirror
+            .roster
+            .iter()
+            .map(|(id, (r, _))| (id, r))
+            .chain(self.renting.fresh.iter().filter(|(id, _)| !self.mirror.roster.contains_key(*id)));
+        for (id, r) in known {
+            let offer: Offer = (r.kind.clone(), r.zone.clone(), r.spot);
+            let age_s = day.saturating_sub(r.at_ms) as f64 / 1000.0;
+            if !r.spot {
+                *zones.entry(r.zone.clone()).or_default() += 1;
+            }
+            if r.up || reported.contains(id) || self.renting.deleted.contains_key(id) {
+                continue;
+            }
+            let boot = catalog.get(&r.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+            if age_s > boot * knobs.never_boots + 10.0 {
+                never.push(id.clone());
+            } else {
+                booting.push(Booting { id: id.clone(), offer, age_s });
+            }
+        }
+        for (request, _, _) in self.renting.open.values() {
+            for _ in 0..request.count {
+                booting.push(Booting {
+                    id: "".into(),
+                    offer: (request.kind.clone(), request.zone.clone(), request.spot),
+                    age_s: 0.0,
+                });
+            }
+        }
+        let mut dead = never;
+        let mut drained = Vec::new();
+        let (cut, report_s, lease_s) = self.cut_zones();
+        let mut free_ordinary = 0.0;
+        for m in self.leader.machines() {
+            let age_s = self
+                .mirror
+                .roster
+                .get(&m.id)
+                .map_or(0.0, |(r, _)| day.saturating_sub(r.at_ms) as f64 / 1000.0);
+            if !m.heard || self.renting.deleted.contains_key(&m.id) {
+                continue;
+            }
+            let limit = if cut.contains(&m.zone) { lease_s * 3.0 } else { report_s * 3.5 };
+            if m.silent_s > limit {
+                dead.push(m.id.clone());
+                continue;
+            }
+            if m.faulty && m.tasks == 0 || m.draining && m.tasks == 0 && m.certain {
+                drained.push(m.id.clone());
+            }
+            if !m.spot && m.open {
+                free_ordinary += m.free.cpus.max(0.0);
+            }
+            in_use.push(InUse {
+                id: m.id.clone(),
+                offer: (m.kind.clone(), m.zone.clone(), m.spot),
+                free: m.free,
+                idle_s: m.idle_s,
+                age_s,
+                tasks: m.tasks,
+                open: m.open,
+            });
+        }
+        dead.extend(drained);
+        self.delete(dead, now);
+        let service = self.leader.service_cpus();
+        let spare = service * knobs.spare_share;
+        for id in rent::returns(&in_use, &catalog, spare, &knobs) {
+            self.leader.drain.insert(id);
+        }
+        let roster = &self.mirror.roster;
+        self.leader.drain.retain(|id| roster.contains_key(id));
+        if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
+            return;
+        }
+        let mut wants = self.leader.wants.clone();
+        let like = self
+            .mirror
+            .jobs
+            .values()
+            .find_map(|j| j.record.spec.clone().filter(|s| s.shape == Shape::Service && j.live()));
+        if let Some(want) = like.and_then(|s| rent::spare_want(spare - free_ordinary, &s)) {
+            wants.push(want);
+        }
+        if wants.is_empty() {
+            return;
+        }
+        self.renting.rented_at = now;
+        let blocked = self.renting.blocked.clone();
+        let orders = rent::rent(&wants, &booting, &zones, &catalog, &knobs, &|o| {
+            blocked.get(o).is_some_and(|b| now < b.0)
+        });
+        for ((kind, zone, spot), count) in orders {
+            self.renting.counter += 1;
+            let request = RentRequest {
+                request: format!("fw-{}-{}", self.inc, self.renting.counter),
+                kind,
+                zone,
+                spot,
+                count: count.min(50),
+            };
+            if self.cloud.try_send(cloud::Ask::Rent(request.clone())).is_ok() {
+                tracing::info!(?request, "renting");
+                self.renting.open.insert(request.request.clone(), (request, now, true));
+            }
+        }
+    }
+
+    /// Zones of which at least half of several machines are silent: cut off
+    /// rather than dead.
+    fn cut_zones(&self) -> (HashSet<Arc<str>>, Secs, Secs) {
+        let w = &self.settings.params.workers;
+        let mut zones: HashMap<Arc<str>, (u32, u32)> = HashMap::new();
+        for m in self.leader.machines().filter(|m| m.heard) {
+            let z = zones.entry(m.zone.clone()).or_default();
+            z.0 += 1;
+            z.1 += u32::from(m.silent_s > w.report_s * 2.0);
+        }
+        let cut = zones.into_iter().filter(|(_, (all, silent))| *silent >= 2 && silent * 2 >= *all);
+        (cut.map(|(z, _)| z).collect(), w.report_s, w.lease_s)
+    }
+
+    pub(super) fn cloud_answer(&mut self, answer: cloud::Answer, now: Secs) {
+        let lag = self.settings.params.cloud.list_lag_s;
+        match answer {
+            cloud::Answer::Catalog(catalog) => {
+                let known = self.mirror.catalog.as_deref();
+                if known != Some(&catalog) && self.leading() && !self.renting.catalog_pending {
+                    let write = Write {
+                        conditions: vec![(CATALOG_KEY.into(), self.mirror.catalog_version)],
+                        ops: vec![Op::Put {
+                            key: CATALOG_KEY.into(),
+                            value: serde_json::to_value(&catalog).unwrap_or_default(),
+                            lease: None,
+                        }],
+                        deadline: now + 2.0,
+                        tag: Tag::Catalog,
+                    };
+                    self.renting.catalog_pending = self.writer.send(write).is_ok();
+                }
+            }
+            cloud::Answer::Rented { request, machines } => {
+                self.renting.open.remove(&request.request);
+                tracing::info!(?machines, "rented");
+                let offer = (request.kind.clone(), request.zone.clone(), request.spot);
+                if (machines.len() as u32) < request.count {
+                    self.block(offer, now);
+                } else {
+                    self.renting.blocked.remove(&offer);
+                }
+                for id in machines {
+                    let record = RosterRecord {
+                        kind: request.kind.clone(),
+                        zone: request.zone.clone(),
+                        spot: request.spot,
+                        up: false,
+                        at_ms: clock::day_ms(),
+                    };
+                    self.renting.fresh.insert(id, record);
+                }
+            }
+            cloud::Answer::NoCapacity(request) => {
+                self.renting.open.remove(&request.request);
+                self.block((request.kind, request.zone, request.spot), now);
+            }
+            cloud::Answer::RentRefused(request) => {
+                self.renting.open.remove(&request.request);
+                self.block((request.kind, request.zone, request.spot), now);
+            }
+            cloud::Answer::RentUnknown(request) => {
+                if let Some(o) = self.renting.open.get_mut(&request.request) {
+                    *o = (request, now + 1.5, false);
+                }
+            }
+            cloud::Answer::Deleted(machines) => {
+                for id in machines {
+                    self.renting.deleting.remove(&id);
+                    self.renting.deleted.insert(id, now);
+                }
+            }
+            cloud::Answer::DeleteFailed(machines) => {
+                for id in machines {
+                    self.renting.deleting.insert(id, now + 1.5);
+                }
+            }
+            cloud::Answer::List { asked, machines } => {
+                self.renting.list_pending = false;
+                self.take_list(asked, machines, lag, now);
+            }
+            cloud::Answer::Failed => {
+                self.renting.list_pending = false;
+                self.renting.catalog_due = self.renting.catalog_due.min(now + 3.0);
+            }
+        }
+    }
+
+    fn block(&mut self, offer: Offer, now: Secs) {
+        // Capacity comes back as machines are returned; ask again after a
+        // while, and less often the longer there is none.
+        let b = self.renting.blocked.entry(offer).or_insert((0.0, 0));
+        b.1 = (b.1 + 1).min(4);
+        b.0 = now + self.settings.params.workers.report_s * f64::from(b.1) * 2.0;
+    }
+
+    /// Takes in a machine list. It may be up to twice the lag old, so a
+    /// machine missing from it is certainly gone only if an earlier list,
+    /// received before this one can have been made, had it.
+    fn take_list(&mut self, asked: Secs, machines: Vec<Listed>, lag: Secs, now: Secs) {
+        if !self.leading() {
+            return;
+        }
+        let present: HashSet<&MachineId> = machines.iter().map(|m| &m.id).collect();
+        let mut gone = Vec::new();
+        for id in self.mirror.roster.keys() {
+            if present.contains(id) {
+                self.renting.listed_at.insert(id.clone(), now);
+            } else if self.renting.listed_at.get(id).is_some_and(|&t| t < asked - 2.0 * lag - 0.5) {
+                gone.push(id.clone());
+            }
+        }
+        for id in gone {
+            tracing::info!(%id, "no longer listed: gone");
+            self.renting.deleted.insert(id, now);
+        }
+        let mut failed = Vec::new();
+        for m in &machines {
+            if m.state == "failed" {
+                failed.push(m.id.clone());
+                continue;
+            }
+            if self.mirror.roster.contains_key(&m.id)
+                || self.renting.fresh.contains_key(&m.id)
+                || self.renting.deleted.contains_key(&m.id)
+            {
+                self.renting.stray_since.remove(&m.id);
+                continue;
+            }
+            // Rented by a request that was carried out late, or by an earlier
+            // leader: use it, once the list can't be a memory of one deleted.
+            let since = *self.renting.stray_since.entry(m.id.clone()).or_insert(now);
+            if now - since > 2.0 * lag + 1.0 {
+                let record = RosterRecord {
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    up: false,
+                    at_ms: clock::day_ms().saturating_sub((m.age_s.clamp(0.0, 1e9) * 1000.0) as u64),
+                };
+                self.renting.fresh.insert(m.id.clone(), record);
+            }
+        }
+        self.renting.stray_since.retain(|id, _| present.contains(id));
+        self.delete(failed, now);
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,564 @@
+//! The actor that ties the pure cores together: it owns the mirror, this
+//! node's part of the fleet and, while it leads, the leader's table. Everything
+//! else speaks to it by messages, and it never waits for the network.
+
+mod leading;
+mod users;
+
+use crate::clock::{self, Secs};
+use crate::cloud;
+use crate::deal::Leader;
+use crate::fleet::{Direct, Part, ReportReply, Timing};
+use crate::http::{self, Ask, DirectDone, Outgoing, Relay, Reply};
+use crate::jobs::{Change, Epoch, Mirror, EPOCH_KEY};
+use crate::membership::{self, LeaseNews};
+use crate::peer::{Envelope, Message, Peers};
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::state::{self, Budget, Feed, Op, Outcome, Write, Writer};
+use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
+use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use leading::Renting;
+use std::collections::HashMap;
+use std::time::Duration;
+use users::Users;
+
+/// What a write was for.
+#[derive(Debug, Clone)]
+pub(crate) enum Tag {
+    Submit(JobId),
+    Withdraw(JobId),
+    Epoch,
+    Finish(JobId),
+    Roster(MachineId),
+    Catalog,
+}
+
+enum Msg {
+    Ask(Ask, Reply),
+    Feed(Feed),
+    Lease(LeaseNews),
+    Written(Tag, Outcome),
+    Cloud(cloud::Answer),
+    Direct(DirectDone),
+}
+
+/// The controller's state.
+pub(crate) struct Controller {
+    settings: Settings,
+    policy: Policy,
+    mirror: Mirror,
+    /// When the newest reading of the mirror was asked for.
+    fresh_at: Option<Secs>,
+    /// The last reading failed.
+    state_down: bool,
+    inc: u64,
+    lease_until: Secs,
+    part: Part,
+    leader: Leader,
+    users: Users,
+    renting: Renting,
+    /// When each worker was last sent to its owner by us.
+    redirected: HashMap<MachineId, Secs>,
+    /// Running tasks per job, as the leader last told.
+    running: HashMap<JobId, u32>,
+    /// Which of the others said that they reach the state service, and when.
+    healthy: HashMap<String, Secs>,
+    epoch_wanted: Option<Secs>,
+    epoch_pending: bool,
+    told_leader: Secs,
+    said_hello: Secs,
+    worked: Secs,
+    tidied: Secs,
+    writer: Writer<Tag>,
+    kicks: Sender<()>,
+    peers: Peers,
+    relays: Sender<Relay>,
+    directs: Sender<(Direct, Secs)>,
+    cloud: Sender<cloud::Ask>,
+}
+
+/// Starts a controller; returns only if it can't run.
+pub fn run(settings: Settings, policy: Policy) -> Result<(), String> {
+    let (tx, rx) = bounded::<Msg>(8192);
+    let out = http::responders(2);
+    for (addr, back) in [(settings.client_listen, false), (settings.back, true)] {
+        let tx = tx.clone();
+        listen(addr, back, &out, tx).map_err(|e| format!("cannot listen on {addr}: {e}"))?;
+    }
+    let mut c = Controller::start(settings, policy, &tx);
+    c.work_forever(&rx);
+    Ok(())
+}
+
+fn listen(
+    addr: std::net::SocketAddr,
+    back: bool,
+    out: &Sender<Outgoing>,
+    tx: Sender<Msg>,
+) -> std::io::Result<()> {
+    http::listen(addr, back, out.clone(), move |ask, reply| {
+        // A full queue drops the reply, which then says 503.
+        let _ = tx.try_send(Msg::Ask(ask, reply));
+    })
+}
+
+impl Controller {
+    fn start(settings: Settings, policy: Policy, tx: &Sender<Msg>) -> Controller {
+        let budget = Budget::new(&settings);
+        let (kicks, kicked) = bounded(1);
+        let to = tx.clone();
+        state::poller(&settings, budget.clone(), kicked, move |f| to.send(Msg::Feed(f)).is_ok());
+        let to = tx.clone();
+        membership::lease_actor(&settings, budget.clone(), move |l| to.send(Msg::Lease(l)).is_ok());
+        let to = tx.clone();
+        let writer = Writer::start(&settings, budget, 3, move |t, o| to.send(Msg::Written(t, o)).is_ok());
+        let to = tx.clone();
+        let cloud = cloud::start(&settings, move |a| to.send(Msg::Cloud(a)).is_ok());
+        let to = tx.clone();
+        let report_s = settings.params.workers.report_s;
+        let directs = http::directs(6, report_s / 2.0, move |d| to.send(Msg::Direct(d)).is_ok());
+        let relays = http::relays(4, report_s * 0.8);
+        let timing = Timing { report_s, lease_s: settings.params.workers.lease_s };
+        Controller {
+            part: Part::new(&settings.node_name, timing),
+            leader: Leader::new(&settings),
+            mirror: Mirror::new(settings.params.state.value_kb),
+            peers: Peers::start(&settings),
+            fresh_at: None,
+            state_down: false,
+            inc: 0,
+            lease_until: 0.0,
+            users: Users::default(),
+            renting: Renting::default(),
+            redirected: HashMap::new(),
+            running: HashMap::new(),
+            healthy: HashMap::new(),
+            epoch_wanted: None,
+            epoch_pending: false,
+            told_leader: 0.0,
+            said_hello: 0.0,
+            worked: 0.0,
+            tidied: 0.0,
+            writer,
+            kicks,
+            relays,
+            directs,
+            cloud,
+            settings,
+            policy,
+        }
+    }
+
+    /// The least time between two rounds of decisions.
+    fn round_gap(&self) -> Secs {
+        self.settings.params.workers.report_s / 60.0
+    }
+
+    /// How long a round of decisions may take: what a fifth of the round's
+    /// share of the core allows.
+    fn round_time(&self) -> Secs {
+        self.round_gap() * self.settings.params.machine_limits.core_share
+    }
+
+    fn work_forever(&mut self, rx: &Receiver<Msg>) {
+        loop {
+            let wait = (self.worked + self.round_gap() - clock::now()).max(0.0);
+            match rx.recv_timeout(Duration::from_secs_f64(wait)) {
+                Ok(msg) => {
+                    self.handle(msg);
+                    for _ in 0..64 {
+                        match rx.try_recv() {
+                            Ok(msg) => self.handle(msg),
+                            Err(_) => break,
+                        }
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = clock::now();
+            if now - self.worked >= self.round_gap() {
+                self.worked = now;
+                self.round(now);
+            }
+        }
+    }
+
+    fn handle(&mut self, msg: Msg) {
+        let now = clock::now();
+        match msg {
+            Msg::Ask(ask, reply) => self.ask(ask, reply, now),
+            Msg::Feed(feed) => self.feed(feed, now),
+            Msg::Lease(LeaseNews::Until { inc, until }) => {
+                if inc != self.inc {
+                    tracing::info!(inc, "joined with a new lease");
+                }
+                self.inc = inc;
+                self.lease_until = until;
+            }
+            Msg::Lease(LeaseNews::Lost) => {
+                self.inc = 0;
+                self.lease_until = 0.0;
+            }
+            Msg::Written(tag, outcome) => self.written(tag, outcome, now),
+            Msg::Cloud(answer) => self.cloud_answer(answer, now),
+            Msg::Direct(d) => {
+                let mine = self.part.epoch() > 0;
+                if mine {
+                    self.part.direct_done(
+                        &d.sent.machine,
+                        &d.sent.body,
+                        d.answer.as_ref(),
+                        &self.mirror,
+                        now,
+                    );
+                }
+            }
+        }
+    }
+
+    /// The epoch, if this incarnation is a member of it and has entered it.
+    fn my_epoch(&self) -> Option<&Epoch> {
+        self.mirror.epoch.as_ref().filter(|e| {
+            self.inc != 0
+                && e.members.get(&self.settings.node_name) == Some(&self.inc)
+                && self.part.epoch() == e.n
+        })
+    }
+
+    /// Until when this node may act: its lease, and the age of what it knows
+    /// of the epoch.
+    fn entitled_until(&self) -> Secs {
+        match (self.my_epoch(), self.fresh_at) {
+            (Some(_), Some(fresh)) => {
+                self.lease_until.min(fresh + clock::usable(self.settings.member_life_s()))
+            }
+            _ => 0.0,
+        }
+    }
+
+    fn leading(&self) -> bool {
+        self.my_epoch().is_some_and(|e| e.leader == self.settings.node_name)
+    }
+
+    fn ask(&mut self, ask: Ask, reply: Reply, now: Secs) {
+        match ask {
+            Ask::Up => {
+                if self.healthy_now(now) {
+                    reply.send(200, b"{}".to_vec());
+                } else {
+                    reply.later(503, 1, "no state service");
+                }
+            }
+            Ask::Submit(spec) => self.submit(*spec, reply, now),
+            Ask::Query(id) => self.query(id.as_str().into(), reply, now),
+            Ask::Withdraw(id) => self.withdraw(id.as_str().into(), reply, now),
+            Ask::Report { report, raw, relayed } => self.report(*report, raw, relayed, reply, now),
+            Ask::Peer(envelope) => {
+                reply.send(200, Vec::new());
+                self.peer(*envelope, now);
+            }
+        }
+    }
+
+    /// Whether users should come here: the state service is reached, or
+    /// nobody else is known to reach it either.
+    fn healthy_now(&self, now: Secs) -> bool {
+        let life = self.settings.member_life_s();
+        let reached = self.fresh_at.is_some_and(|f| now - f < life / 4.0);
+        let others = self.healthy.values().any(|&t| now - t < life / 4.0);
+        reached || (self.fresh_at.is_some() && !others)
+    }
+
+    fn report(&mut self, report: Report, raw: Vec<u8>, relayed: bool, reply: Reply, now: Secs) {
+        let Some(epoch) = self.my_epoch() else {
+            return reply.later(503, 1, "not a member now");
+        };
+        let owner = membership::owner(&epoch.members, &report.machine).map(String::from);
+        let me = &self.settings.node_name;
+        match owner {
+            Some(o) if o == *me => {
+                if now >= self.entitled_until() {
+                    return reply.later(503, 1, "fenced");
+                }
+                match self.part.report(&report, &self.mirror, now) {
+                    ReportReply::Commands { token, commands } => {
+                        let body = ReportAnswer { token, commands };
+                        reply.send(200, serde_json::to_vec(&body).unwrap_or_default());
+                    }
+                    ReportReply::Refuse => reply.later(503, 1, "an old report"),
+                }
+            }
+            _ if relayed => reply.later(503, 1, "not the owner"),
+            Some(o) => {
+                // One that was sent to its owner a moment ago and is here
+                // again can't reach it: its report is passed on.
+                let lease_s = self.settings.params.workers.lease_s;
+                let back = self.redirected.get(&report.machine).is_some_and(|&t| now - t < lease_s / 2.0);
+                let to = self.settings.members.iter().find(|m| m.node_name == o).map(|m| m.endpoint);
+                match to {
+                    Some(to) if back => {
+                        self.redirected.insert(report.machine, now);
+                        let _ = self.relays.try_send(Relay { to, raw, reply });
+                    }
+                    _ => {
+                        self.redirected.insert(report.machine, now);
+                        let body = Redirect { report_to: Some(o) };
+                        reply.send(421, serde_json::to_vec(&body).unwrap_or_default());
+                    }
+                }
+            }
+            None => reply.later(503, 1, "no owner"),
+        }
+    }
+
+    fn peer(&mut self, e: Envelope, now: Secs) {
+        if e.fresh {
+            self.healthy.insert(e.from.clone(), now);
+        } else {
+            self.healthy.remove(&e.from);
+        }
+        if e.to != self.settings.node_name {
+            // Passed on for one that can't reach the other directly.
+            if e.from != self.settings.node_name {
+                self.peers.send(e);
+            }
+            return;
+        }
+        match e.message {
+            Message::Part(r) => {
+                if self.leading() && self.leader.part_report(r, &self.mirror, now) {
+                    self.send_orders(&e.from);
+                }
+            }
+            Message::Orders(o) => self.take_orders(&o, now),
+            Message::Hello => {}
+        }
+    }
+
+    fn take_orders(&mut self, o: &crate::fleet::Orders, now: Secs) {
+        if o.epoch == self.part.epoch() {
+            self.part.orders(o, &self.mirror, now);
+            self.running = o.running.iter().cloned().collect();
+        }
+    }
+
+    fn send_orders(&mut self, to: &str) {
+        if let Some(orders) = self.leader.orders(to) {
+            if to == self.settings.node_name {
+                self.take_orders(&orders, clock::now());
+            } else {
+                self.send_peer(to, Message::Orders(orders));
+            }
+        }
+    }
+
+    fn send_peer(&self, to: &str, message: Message) {
+        self.peers.send(Envelope {
+            from: self.settings.node_name.clone(),
+            to: to.into(),
+            fresh: !self.state_down && self.fresh_at.is_some(),
+            message,
+        });
+    }
+
+    fn feed(&mut self, feed: Feed, now: Secs) {
+        match feed {
+            Feed::Loaded { began, ring, entries } => {
+                tracing::info!(ring, keys = entries.len(), "read the whole state");
+                self.mirror.load(entries);
+                self.fresh_at = Some(began);
+                self.state_down = false;
+                self.epoch_changed(now);
+                let ids: Vec<JobId> = self.mirror.jobs.keys().cloned().collect();
+                for id in ids {
+                    self.job_changed(&id);
+                }
+            }
+            Feed::Changed { began, events, .. } => {
+                for event in events {
+                    match self.mirror.apply(event) {
+                        Change::Epoch => self.epoch_changed(now),
+                        Change::Job(id) => self.job_changed(&id),
+                        Change::Machine(id) => self.machine_changed(&id, now),
+                        Change::Members | Change::Catalog | Change::Nothing => {}
+                    }
+                }
+                self.fresh_at = Some(began);
+                if self.state_down {
+                    tracing::info!("the state service answers again");
+                }
+                self.state_down = false;
+            }
+            Feed::Down => {
+                if !self.state_down {
+                    tracing::info!("the state service does not answer");
+                }
+                self.state_down = true;
+            }
+        }
+        self.serve_waiting(now);
+    }
+
+    fn job_changed(&mut self, id: &JobId) {
+        self.part.job_changed(id, &self.mirror);
+        if self.leading() {
+            self.leader.job_changed(id, &self.mirror);
+        }
+    }
+
+    fn machine_changed(&mut self, id: &MachineId, now: Secs) {
+        match self.mirror.roster.get(id) {
+            Some((record, _)) => {
+                let mine = self
+                    .my_epoch()
+                    .is_some_and(|e| membership::owner(&e.members, id) == Some(&self.settings.node_name));
+                if mine {
+                    self.part.list(id, &record.clone(), now);
+                }
+            }
+            None => {
+                self.part.unlist(id);
+                self.renting.forget(id);
+            }
+        }
+    }
+
+    fn epoch_changed(&mut self, now: Secs) {
+        let Some(epoch) = self.mirror.epoch.clone() else { return };
+        self.epoch_wanted = None;
+        let me = self.settings.node_name.clone();
+        if self.inc == 0 || epoch.members.get(&me) != Some(&self.inc) {
+            return;
+        }
+        tracing::info!(epoch = epoch.n, leader = %epoch.leader, members = epoch.members.len(), "entered an epoch");
+        let members = epoch.members.clone();
+        if self.part.epoch() != epoch.n {
+            self.part.enter(epoch.n, self.inc, &self.mirror, now, |id| {
+                membership::owner(&members, id) == Some(me.as_str())
+            });
+        }
+        if epoch.leader == self.settings.node_name {
+            self.leader.enter(&epoch, self.inc, &self.mirror, now);
+            self.renting.lead(now);
+        }
+        self.told_leader = 0.0;
+    }
+
+    fn round(&mut self, now: Secs) {
+        // Joined after the epoch was seen: enter it now.
+        let waiting_epoch = self.mirror.epoch.as_ref().is_some_and(|e| {
+            self.inc != 0
+                && e.members.get(&self.settings.node_name) == Some(&self.inc)
+                && self.part.epoch() != e.n
+        });
+        if waiting_epoch {
+            self.epoch_changed(now);
+        }
+        self.propose_epoch(now);
+        self.serve_waiting(now);
+        let until = self.entitled_until();
+        if now < until {
+            let end = now + self.round_time();
+            self.part.heed_notices(&self.mirror, now);
+            if self.leading() {
+                self.lead(now, end);
+            }
+            self.part.place(&self.mirror, now, || clock::now() < end);
+            for direct in self.part.directs(&self.mirror, now) {
+                if let Err(e) = self.directs.try_send((direct, until)) {
+                    let (d, _) = e.into_inner();
+                    self.part.direct_done(&d.machine, &d.body, None, &self.mirror, now);
+                }
+            }
+            self.tell_leader(now);
+        }
+        if now - self.tidied > self.settings.params.workers.report_s {
+            self.tidied = now;
+            self.part.tidy(&self.mirror);
+            let lease_s = self.settings.params.workers.lease_s;
+            self.redirected.retain(|_, t| now - *t < lease_s);
+        }
+        let report_s = self.settings.params.workers.report_s;
+        if now - self.said_hello > report_s / 3.0 {
+            self.said_hello = now;
+            let names: Vec<String> = self.peers.names().cloned().collect();
+            for name in names {
+                self.send_peer(&name, Message::Hello);
+            }
+        }
+    }
+
+    fn tell_leader(&mut self, now: Secs) {
+        let report_s = self.settings.params.workers.report_s;
+        let gap = if self.part.dirty { report_s / 20.0 } else { report_s / 3.0 };
+        if now - self.told_leader < gap {
+            return;
+        }
+        let Some(leader) = self.my_epoch().map(|e| e.leader.clone()) else { return };
+        self.told_leader = now;
+        let snapshot = self.part.snapshot(&self.mirror, now);
+        if leader == self.settings.node_name {
+            if self.leader.part_report(snapshot, &self.mirror, now) {
+                self.send_orders(&leader);
+            }
+        } else {
+            self.send_peer(&leader, Message::Part(snapshot));
+        }
+    }
+
+    /// Proposes the next epoch when the live members aren't the epoch's. The
+    /// leader does it at once, the others after a moment, so that they rarely
+    /// race; only one proposal can win.
+    fn propose_epoch(&mut self, now: Secs) {
+        if self.epoch_pending || self.state_down || self.inc == 0 || now >= self.lease_until {
+            return;
+        }
+        let me = &self.settings.node_name;
+        if self.mirror.members.get(me).map(|m| m.0.inc) != Some(self.inc) {
+            return;
+        }
+        let Some(next) = membership::next_epoch(self.mirror.epoch.as_ref(), &self.mirror.members) else {
+            self.epoch_wanted = None;
+            return;
+        };
+        let since = *self.epoch_wanted.get_or_insert(now);
+        let rank = next.members.keys().position(|n| n == me).unwrap_or(0) as f64;
+        let mine = next.leader == *me;
+        let patience = if mine { 0.0 } else { state::poll_gap(&self.settings) * 4.0 * (rank + 1.0) };
+        if now - since < patience {
+            return;
+        }
+        self.epoch_pending = true;
+        let write = Write {
+            conditions: vec![(EPOCH_KEY.into(), self.mirror.epoch_version)],
+            ops: vec![Op::Put {
+                key: EPOCH_KEY.into(),
+                value: serde_json::to_value(&next).unwrap_or_default(),
+                lease: None,
+            }],
+            deadline: now + self.settings.member_life_s() / 4.0,
+            tag: Tag::Epoch,
+        };
+        if self.writer.send(write).is_err() {
+            self.epoch_pending = false;
+        }
+    }
+
+    fn written(&mut self, tag: Tag, outcome: Outcome, now: Secs) {
+        let _ = self.kicks.try_send(());
+        match tag {
+            Tag::Submit(id) => self.submit_written(id, outcome, now),
+            Tag::Withdraw(id) => self.withdraw_written(id, outcome, now),
+            Tag::Epoch => {
+                self.epoch_pending = false;
+                // Let the mirror catch up before another proposal.
+                self.epoch_wanted = Some(now);
+            }
+            Tag::Finish(job) => self.finish_written(&job, outcome),
+            Tag::Roster(id) => self.renting.written(&id, now),
+            Tag::Catalog => self.renting.catalog_written(),
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/users.rs
@@ -0,0 +1,267 @@
+//! Users' requests: answered at once from memory where that is safe, after
+//! a fresh reading of the state service where it isn't, and after the commit
+//! where something is to be kept.
+
+use super::{Controller, Tag};
+use crate::clock::{self, Secs};
+use crate::http::{error_body, Reply};
+use crate::jobs::{job_key, JobRecord};
+use crate::state::{Op, Outcome, Write};
+use crate::wire::{Catalog, JobId, JobSpec, JobView, Shape};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Requests that wait.
+#[derive(Default)]
+pub(crate) struct Users {
+    /// Wait for a reading begun after they came.
+    reads: Vec<(Secs, Read)>,
+    /// Wait for a commit.
+    submits: HashMap<JobId, (JobRecord, Vec<Reply>)>,
+    withdraws: HashMap<JobId, Vec<Reply>>,
+}
+
+enum Read {
+    Query(JobId, Reply),
+    Withdraw(JobId, Reply, Secs),
+}
+
+/// How many may wait for one thing.
+const MOST_WAITING: usize = 4096;
+
+impl Controller {
+    /// How long a request may wait before it is given up: a fifth of the time
+    /// after which users would.
+    fn patience(&self) -> Secs {
+        1.0
+    }
+
+    pub(super) fn submit(&mut self, spec: JobSpec, reply: Reply, now: Secs) {
+        let id = spec.id.clone();
+        if self.mirror.jobs.contains_key(&id) {
+            return self.query(id, reply, now);
+        }
+        if let Some((_, waiting)) = self.users.submits.get_mut(&id) {
+            return waiting.push(reply);
+        }
+        if self.fresh_at.is_none() || self.state_down {
+            return reply.later(503, 2, "the state service can't be reached");
+        }
+        let Some(catalog) = self.mirror.catalog.clone() else {
+            return reply.later(503, 1, "the machine types are not known yet");
+        };
+        if let Err(why) = self.can_run(&spec, &catalog) {
+            return reply.send(422, error_body(&why));
+        }
+        if self.users.submits.len() >= MOST_WAITING {
+            return reply.later(429, 2, "too many submissions");
+        }
+        let record = JobRecord {
+            tasks: spec.tasks,
+            spec: Some(Arc::new(spec)),
+            epoch: self.mirror.epoch.as_ref().map_or(0, |e| e.n),
+            at_ms: clock::day_ms(),
+            cancelled: false,
+            done: false,
+        };
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        let write = Write {
+            conditions: vec![(job_key(&id), 0)],
+            ops: vec![Op::Put { key: job_key(&id), value, lease: None }],
+            deadline: now + self.patience(),
+            tag: Tag::Submit(id.clone()),
+        };
+        if self.writer.send(write).is_err() {
+            return reply.later(429, 2, "too many submissions");
+        }
+        self.users.submits.insert(id, (record, vec![reply]));
+    }
+
+    /// Whether a job can ever run; else why not.
+    fn can_run(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), String> {
+        let team = self.settings.team(&spec.team).ok_or("unknown team")?;
+        let fits = catalog.types.iter().any(|t| {
+            spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && t.total().fits(&spec.ask())
+        });
+        if !fits {
+            return Err("a task fits no allowed machine type".into());
+        }
+        let n = if spec.shape == Shape::Service { f64::from(spec.tasks) } else { 1.0 };
+        if n * spec.cpus > team.cpu_cap() || n * spec.gpus > team.gpu_cap() {
+            return Err("the job needs more than the team's limit".into());
+        }
+        Ok(())
+    }
+
+    pub(super) fn submit_written(&mut self, id: JobId, outcome: Outcome, now: Secs) {
+        let Some((record, replies)) = self.users.submits.remove(&id) else { return };
+        match outcome {
+            Outcome::Done(version) => {
+                let value = serde_json::to_value(&record).unwrap_or_default();
+                self.mirror.put(&job_key(&id), value, version);
+                self.job_changed(&id);
+                let mut status = 201;
+                for reply in replies {
+                    let view = JobView { id: id.clone(), state: "pending".into(), done: None, running: None };
+                    reply.send(status, serde_json::to_vec(&view).unwrap_or_default());
+                    status = 200;
+                }
+            }
+            Outcome::Conflict(_) => {
+                // Another node has it already.
+                for reply in replies {
+                    self.query(id.clone(), reply, now);
+                }
+            }
+            Outcome::Refused | Outcome::Unknown => {
+                for reply in replies {
+                    reply.later(503, 1, "not committed");
+                }
+            }
+        }
+    }
+
+    pub(super) fn query(&mut self, id: JobId, reply: Reply, now: Secs) {
+        if self.mirror.jobs.get(&id).is_some_and(|j| !j.live()) {
+            return self.answer(&id, reply);
+        }
+        self.wait_fresh(Read::Query(id, reply), now);
+    }
+
+    pub(super) fn withdraw(&mut self, id: JobId, reply: Reply, now: Secs) {
+        match self.mirror.jobs.get(&id) {
+            Some(j) if !j.live() => self.answer_final(&id, reply),
+            Some(_) => self.cancel(id, reply, now),
+            None => {
+                let until = now + self.patience();
+                self.wait_fresh(Read::Withdraw(id, reply, until), now);
+            }
+        }
+    }
+
+    fn wait_fresh(&mut self, read: Read, now: Secs) {
+        let reply_now = self.fresh_at.is_none() || self.state_down || self.users.reads.len() >= MOST_WAITING;
+        if reply_now {
+            return read.into_reply().later(503, 1, "the state service can't be reached");
+        }
+        self.users.reads.push((now, read));
+        let _ = self.kicks.try_send(());
+    }
+
+    fn cancel(&mut self, id: JobId, reply: Reply, now: Secs) {
+        if self.state_down {
+            return reply.later(503, 1, "the state service can't be reached");
+        }
+        if let Some(waiting) = self.users.withdraws.get_mut(&id) {
+            return waiting.push(reply);
+        }
+        let Some(job) = self.mirror.jobs.get(&id) else { return };
+        let record = JobRecord { cancelled: true, ..job.record.clone() };
+        let write = Write {
+            conditions: vec![(job_key(&id), job.version)],
+            ops: vec![Op::Put {
+                key: job_key(&id),
+                value: serde_json::to_value(&record).unwrap_or_default(),
+                lease: None,
+            }],
+            deadline: now + self.patience(),
+            tag: Tag::Withdraw(id.clone()),
+        };
+        if self.writer.send(write).is_err() {
+            return reply.later(429, 1, "too many requests");
+        }
+        self.users.withdraws.insert(id, vec![reply]);
+    }
+
+    pub(super) fn withdraw_written(&mut self, id: JobId, outcome: Outcome, now: Secs) {
+        let Some(replies) = self.users.withdraws.remove(&id) else { return };
+        match outcome {
+            Outcome::Done(version) => {
+                if let Some(job) = self.mirror.jobs.get(&id) {
+                    let record = JobRecord { cancelled: true, ..job.record.clone() };
+                    let value = serde_json::to_value(&record).unwrap_or_default();
+                    self.mirror.put(&job_key(&id), value, version);
+                    self.job_changed(&id);
+                }
+                for reply in replies {
+                    self.answer_final(&id, reply);
+                }
+            }
+            Outcome::Conflict(_) => {
+                for reply in replies {
+                    let until = now + self.patience();
+                    self.wait_fresh(Read::Withdraw(id.clone(), reply, until), now);
+                }
+            }
+            Outcome::Refused | Outcome::Unknown => {
+                for reply in replies {
+                    reply.later(503, 1, "not committed");
+                }
+            }
+        }
+    }
+
+    /// Serves what a new reading allows; refuses what waited too long.
+    pub(super) fn serve_waiting(&mut self, now: Secs) {
+        if self.users.reads.is_empty() {
+            return;
+        }
+        let fresh = self.fresh_at.unwrap_or(f64::MIN);
+        let reads = std::mem::take(&mut self.users.reads);
+        for (came, read) in reads {
+            if fresh >= came {
+                match read {
+                    Read::Query(id, reply) => self.answer(&id, reply),
+                    Read::Withdraw(id, reply, until) => match self.mirror.jobs.get(&id) {
+                        Some(j) if !j.live() => self.answer_final(&id, reply),
+                        Some(_) if now < until => self.cancel(id, reply, now),
+                        Some(_) => reply.later(503, 1, "not committed"),
+                        None => reply.send(404, error_body("no such job")),
+                    },
+                }
+            } else if self.state_down || now - came > self.patience() {
+                read.into_reply().later(503, 1, "the state service can't be reached");
+            } else {
+                self.users.reads.push((came, read));
+            }
+        }
+        if !self.users.reads.is_empty() {
+            let _ = self.kicks.try_send(());
+        }
+    }
+
+    fn answer_final(&self, id: &JobId, reply: Reply) {
+        let done = self.mirror.jobs.get(id).is_some_and(|j| j.record.done);
+        let state = if done { "done" } else { "cancelled" };
+        let view = JobView { id: id.clone(), state: state.into(), done: None, running: None };
+        reply.send(200, serde_json::to_vec(&view).unwrap_or_default());
+    }
+
+    fn answer(&self, id: &JobId, reply: Reply) {
+        let Some(job) = self.mirror.jobs.get(id) else {
+            return reply.send(404, error_body("no such job"));
+        };
+        let running = self.running.get(id).copied().unwrap_or(0);
+        let (state, done, running) = if job.record.done {
+            ("done", job.record.tasks, 0)
+        } else if job.record.cancelled {
+            ("cancelled", job.finished.len(), 0)
+        } else if running > 0 {
+            ("running", job.finished.len(), running)
+        } else {
+            ("pending", job.finished.len(), 0)
+        };
+        let view = JobView { id: id.clone(), state: state.into(), done: Some(done), running: Some(running) };
+        reply.send(200, serde_json::to_vec(&view).unwrap_or_default());
+    }
+}
+
+impl Read {
+    fn into_reply(self) -> Reply {
+        match self {
+            Read::Query(_, reply) | Read::Withdraw(_, reply, _) => reply,
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,1162 @@
+//! A part of the fleet: the machines that hash to this controller, what runs
+//! on them, and the commands they are due. Pure: time comes in, commands go
+//! out as values.
+//!
+//! The one thing that must never happen is a task starting while it is
+//! somewhere else. A task held here leaves this part only on proof: it was
+//! seen ended, its machine is off the roster, its worker began a new session,
+//! or a report under a token above that of the last start doesn't list it.
+
+use crate::clock::Secs;
+use crate::jobs::{Mirror, RosterRecord};
+use crate::membership::{token, token_epoch};
+use crate::place::{self, Candidate};
+use crate::wire::{
+    Call, Commands, JobId, JobSpec, MachineId, Rank, Report, Res, Shape, Task, TaskLine, TaskState,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+/// How a task left this part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Leave {
+    /// Stopped by our command.
+    Stopped,
+    /// Failed on its machine.
+    Error,
+    /// Gone with its machine or session.
+    Lost,
+    /// Nothing here could take it, or the worker refused it.
+    Passed,
+}
+
+/// A task that is certainly nowhere in this part any more.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Gone {
+    pub task: Task,
+    pub attempt: u64,
+    pub how: Leave,
+    pub machine: Option<MachineId>,
+    seq: u64,
+}
+
+/// What a held task is doing, as the leader sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    Queued,
+    Starting,
+    Fetching,
+    Running,
+    Saving,
+    Done,
+}
+
+/// One held task in a part's report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeldView {
+    pub task: Task,
+    pub attempt: u64,
+    pub phase: Phase,
+    pub machine: Option<MachineId>,
+}
+
+/// One machine in a part's report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineView {
+    pub id: MachineId,
+    pub kind: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    /// What it holds is known under this owner's token.
+    pub certain: bool,
+    /// Heard of at all.
+    pub heard: bool,
+    /// On the roster.
+    pub listed: bool,
+    pub silent_s: f64,
+    pub idle_s: f64,
+    pub free: Res,
+    /// Takes new tasks.
+    pub open: bool,
+    pub noticed: bool,
+    pub faulty: bool,
+    pub draining: bool,
+    pub tasks: u32,
+}
+
+/// All that a part tells the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PartReport {
+    pub epoch: u64,
+    pub node: String,
+    pub inc: u64,
+    pub seq: u64,
+    pub machines: Vec<MachineView>,
+    pub held: Vec<HeldView>,
+    pub gone: Vec<Gone>,
+}
+
+/// Tasks of one job dealt to a part.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Deal {
+    pub job: JobId,
+    /// Number and attempt.
+    pub tasks: Vec<(u32, u64)>,
+    /// For jobs whose tasks depend on each other: how many more each zone may take.
+    pub zone_room: Option<Vec<(Arc<str>, u32)>>,
+    pub avoid: Vec<MachineId>,
+}
+
+/// All that the leader tells a part.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Orders {
+    pub epoch: u64,
+    pub node: String,
+    pub seq: u64,
+    /// The newest report of the part that the leader has taken in.
+    pub ack: u64,
+    pub deals: Vec<Deal>,
+    /// Tasks to give back.
+    pub recall: Vec<(Task, u64)>,
+    /// Machines that take no more tasks.
+    pub drain: Vec<MachineId>,
+    /// Running tasks per job, for display.
+    pub running: Vec<(JobId, u32)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    Cancelled,
+    Recalled,
+    Preempted,
+    Notice,
+}
+
+#[derive(Debug, Clone)]
+struct Place {
+    machine: MachineId,
+    session: u64,
+    phase: Phase,
+    /// The token under which the last start was sent (or the task adopted);
+    /// the highest number while no start can be under way.
+    start_token: u64,
+    sent: bool,
+    confirmed: bool,
+    stop: Option<Stop>,
+    stop_sent: bool,
+    since: Secs,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    attempt: u64,
+    at: Option<Place>,
+    since: Secs,
+    avoid: Vec<MachineId>,
+}
+
+/// Zone bounds of a job whose tasks depend on each other.
+#[derive(Debug, Clone, Default)]
+struct Bounds {
+    room: BTreeMap<Arc<str>, u32>,
+}
+
+#[derive(Debug, Clone)]
+struct Machine {
+    kind: Arc<str>,
+    zone: Arc<str>,
+    spot: bool,
+    addr: Option<String>,
+    listed: bool,
+    up: bool,
+    certain: bool,
+    session: u64,
+    seq: u64,
+    counter: u64,
+    heard: Option<Secs>,
+    lines: BTreeMap<Task, (u64, TaskState, Option<String>)>,
+    notice_until: Option<Secs>,
+    draining: bool,
+    errors: HashSet<JobId>,
+    in_flight: bool,
+    direct_bad_until: Secs,
+    idle_since: Secs,
+    images: VecDeque<(Arc<str>, f64)>,
+    probe: bool,
+}
+
+/// Settings that a part needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    pub report_s: Secs,
+    pub lease_s: Secs,
+}
+
+/// A part of the fleet.
+#[derive(Debug)]
+pub struct Part {
+    node: String,
+    timing: Timing,
+    epoch: u64,
+    inc: u64,
+    machines: BTreeMap<MachineId, Machine>,
+    held: BTreeMap<Task, Held>,
+    gone: Vec<Gone>,
+    /// The highest attempt seen of each task: a late copy of a deal does nothing.
+    seen: HashMap<Task, u64>,
+    bounds: HashMap<JobId, Bounds>,
+    seq: u64,
+    orders_seq: u64,
+    /// Something changed that the leader should hear.
+    pub dirty: bool,
+}
+
+/// A task with its attempt.
+type Attempt = (Task, u64);
+
+/// What to answer a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportReply {
+    /// 200 with token and commands.
+    Commands { token: u64, commands: Vec<Call> },
+    /// 503: not entitled, or the report is older than one already seen.
+    Refuse,
+}
+
+/// Commands to send directly.
+#[derive(Debug, Clone)]
+pub struct Direct {
+    pub machine: MachineId,
+    pub addr: String,
+    pub body: Commands,
+}
+
+impl Part {
+    /// An empty part, a member of no epoch.
+    pub fn new(node: &str, timing: Timing) -> Part {
+        Part {
+            node: node.into(),
+            timing,
+            epoch: 0,
+            inc: 0,
+            machines: BTreeMap::new(),
+            held: BTreeMap::new(),
+            gone: Vec::new(),
+            seen: HashMap::new(),
+            bounds: HashMap::new(),
+            seq: 0,
+            orders_seq: 0,
+            dirty: true,
+        }
+    }
+
+    /// The epoch this part acts in.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Enters an epoch. What was known is kept only if this incarnation was a
+    /// member of the epoch just before: otherwise somebody else may have
+    /// owned the machines in between.
+    pub fn enter(&mut self, epoch: u64, inc: u64, mirror: &Mirror, now: Secs, owns: impl Fn(&str) -> bool) {
+        let stays = inc == self.inc && epoch == self.epoch + 1;
+        if !stays {
+            let fresh = Part::new(&self.node, self.timing);
+            *self = fresh;
+        }
+        self.epoch = epoch;
+        self.inc = inc;
+        self.orders_seq = 0;
+        self.machines.retain(|id, _| owns(id));
+        let machines = &self.machines;
+        self.held.retain(|_, h| h.at.as_ref().is_none_or(|p| machines.contains_key(&p.machine)));
+        for (id, (record, _)) in &mirror.roster {
+            if owns(id) {
+                self.list(id, record, now);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A machine of this part is on the roster, or was changed there.
+    pub fn list(&mut self, id: &MachineId, record: &RosterRecord, now: Secs) {
+        let m = self.machines.entry(id.clone()).or_insert_with(|| Machine {
+            kind: record.kind.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            // Never used by anybody: the roster would say so.
+            certain: !record.up,
+            ..Machine::unknown(now)
+        });
+        m.listed = true;
+        m.up |= record.up;
+        self.dirty = true;
+    }
+
+    /// A machine is off the roster: it and all that was on it are gone.
+    pub fn unlist(&mut self, id: &MachineId) {
+        if self.machines.remove(id).is_some() {
+            self.lose(id, u64::MAX);
+        }
+        self.dirty = true;
+    }
+
+    fn lose(&mut self, id: &MachineId, below_session: u64) {
+        let lost: Vec<Task> = self
+            .held
+            .iter()
+            .filter(|(_, h)| {
+                h.at.as_ref().is_some_and(|p| {
+                    p.machine == *id && p.session < below_session && p.phase != Phase::Done
+                        || p.machine == *id && below_session == u64::MAX
+                })
+            })
+            .map(|(t, _)| t.clone())
+            .collect();
+        for task in lost {
+            self.leave(&task, Leave::Lost);
+        }
+    }
+
+    fn leave(&mut self, task: &Task, how: Leave) {
+        if let Some(h) = self.held.remove(task) {
+            let how = match (&h.at, how) {
+                (Some(p), Leave::Lost) if p.stop.is_some() => Leave::Stopped,
+                _ => how,
+            };
+            self.gone.push(Gone {
+                task: task.clone(),
+                attempt: h.attempt,
+                how,
+                machine: h.at.map(|p| p.machine),
+                seq: self.seq + 1,
+            });
+            self.dirty = true;
+        }
+    }
+
+    /// Takes in a worker's report and composes the answer.
+    pub fn report(&mut self, r: &Report, mirror: &Mirror, now: Secs) -> ReportReply {
+        if token_epoch(r.token) > self.epoch {
+            // Somebody with a later epoch commands it: an answer of ours
+            // would only be dropped.
+            return ReportReply::Refuse;
+        }
+        let epoch = self.epoch;
+        let known = mirror.roster.get(&r.machine).map(|(record, _)| record.clone());
+        let m = self.machines.entry(r.machine.clone()).or_insert_with(|| Machine {
+            kind: r.kind.clone(),
+            zone: r.zone.clone(),
+            spot: r.spot,
+            ..Machine::unknown(now)
+        });
+        if let Some(record) = known {
+            m.listed = true;
+            m.up |= record.up;
+        }
+        if (r.session, r.seq) <= (m.session, m.seq) {
+            return ReportReply::Refuse;
+        }
+        if r.token > token(epoch, m.counter) {
+            m.counter = (r.token & 0xff_ffff) + 1;
+        }
+        self.take_in(r, mirror, now);
+        let (token, commands) = self.compose(&r.machine, mirror, now, false);
+        ReportReply::Commands { token, commands }
+    }
+
+    /// Takes in the newest known state of a machine.
+    fn take_in(&mut self, r: &Report, mirror: &Mirror, now: Secs) {
+        let id = r.machine.clone();
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        if (r.session, r.seq) <= (m.session, m.seq) {
+            return;
+        }
+        let new_session = r.session > m.session;
+        m.session = r.session;
+        m.seq = r.seq;
+        m.addr = Some(r.addr.clone());
+        if m.heard.is_none() {
+            m.idle_since = now;
+            self.dirty = true;
+        }
+        m.heard = Some(now);
+        if let Some(s) = r.notice_s {
+            if m.notice_until.is_none() {
+                self.dirty = true;
+            }
+            m.notice_until = Some(now + s);
+        }
+        m.lines = r
+            .tasks
+            .iter()
+            .filter_map(|l: &TaskLine| Some((Task::parse(&l.task)?, (l.attempt, l.state, l.why.clone()))))
+            .collect();
+        if !m.certain {
+            if r.token >= token(self.epoch, m.counter) {
+                m.certain = true;
+                m.probe = false;
+                self.dirty = true;
+            } else {
+                // Ask at once under our token: its answer is proof.
+                m.probe = true;
+            }
+        }
+        let certain = m.certain;
+        if new_session {
+            self.lose(&id, r.session);
+        }
+        if certain {
+            self.reconcile(&id, r.token, mirror, now);
+        }
+        if let Some(m) = self.machines.get_mut(&id) {
+            if !m.lines.is_empty()
+                || self.held.values().any(|h| h.at.as_ref().is_some_and(|p| p.machine == id))
+            {
+                m.idle_since = now;
+            }
+        }
+    }
+
+    fn reconcile(&mut self, id: &MachineId, seen_token: u64, mirror: &Mirror, now: Secs) {
+        let Some(m) = self.machines.get(id) else { return };
+        let lines = m.lines.clone();
+        let session = m.session;
+        for (task, (attempt, state, why)) in &lines {
+            let seen = self.seen.entry(task.clone()).or_insert(0);
+            *seen = (*seen).max(*attempt);
+            match self.held.get_mut(task) {
+                Some(h) if h.attempt == *attempt && h.at.as_ref().is_some_and(|p| p.machine == *id) => {
+                    self.progress(task, *state, why.as_deref(), now);
+                }
+                Some(h) if *state != TaskState::Ended || why.as_deref() == Some("done") => {
+                    // Held under another attempt or elsewhere, yet it is here.
+                    // What is seen wins over what is merely planned.
+                    if h.at.is_none() || (why.as_deref() == Some("done") && h.at.is_none()) {
+                        let stale = h.attempt;
+                        tracing::warn!(%task, stale, attempt, "dealt task found on a machine");
+                        h.attempt = *attempt;
+                        h.at = Some(Place::adopted(id, session, seen_token, now));
+                        self.progress(task, *state, why.as_deref(), now);
+                        self.dirty = true;
+                    }
+                }
+                Some(_) => {}
+                None => {
+                    let finished = finished(mirror, task);
+                    let ended_otherwise = *state == TaskState::Ended && why.as_deref() != Some("done");
+                    if !finished && !ended_otherwise {
+                        self.held.insert(
+                            task.clone(),
+                            Held {
+                                attempt: *attempt,
+                                at: Some(Place::adopted(id, session, seen_token, now)),
+                                since: now,
+                                avoid: Vec::new(),
+                            },
+                        );
+                        self.progress(task, *state, why.as_deref(), now);
+                        self.dirty = true;
+                    }
+                }
+            }
+        }
+        let absent: Vec<(Task, bool, bool, bool)> = self
+            .held
+            .iter()
+            .filter(|(t, h)| {
+                h.at.as_ref().is_some_and(|p| p.machine == *id)
+                    && lines.get(*t).is_none_or(|l| l.0 != h.attempt)
+            })
+            .map(|(t, h)| {
+                let p = h.at.as_ref();
+                let proof = p.is_some_and(|p| seen_token > p.start_token);
+                (t.clone(), proof, p.is_some_and(|p| p.confirmed), p.is_some_and(|p| p.stop.is_some()))
+            })
+            .collect();
+        for (task, proof, confirmed, stopping) in absent {
+            if proof && (confirmed || stopping) {
+                self.leave(&task, if stopping { Leave::Stopped } else { Leave::Lost });
+            } else if proof {
+                // Not there and can't come any more: start it anew.
+                if let Some(p) = self.held.get_mut(&task).and_then(|h| h.at.as_mut()) {
+                    p.sent = false;
+                    p.start_token = u64::MAX;
+                }
+            } else if confirmed || stopping {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.raise(self.epoch, seen_token);
+                    m.probe = true;
+                }
+            }
+        }
+    }
+
+    fn progress(&mut self, task: &Task, state: TaskState, why: Option<&str>, now: Secs) {
+        let Some(h) = self.held.get_mut(task) else { return };
+        let Some(p) = h.at.as_mut() else { return };
+        p.confirmed = true;
+        p.sent = true;
+        let phase = match state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Running | TaskState::Other => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Ended => match why {
+                Some("done") => Phase::Done,
+                Some("stopped") => return self.leave(task, Leave::Stopped),
+                Some("error") => {
+                    let machine = p.machine.clone();
+                    if let Some(m) = self.machines.get_mut(&machine) {
+                        m.errors.insert(task.job.clone());
+                    }
+                    return self.leave(task, Leave::Error);
+                }
+                _ => return self.leave(task, Leave::Passed),
+            },
+        };
+        if p.phase != phase {
+            p.phase = phase;
+            p.since = now;
+            self.dirty = true;
+        }
+    }
+
+    /// The commands a machine is due. Reaps wait while a direct command is
+    /// unanswered, and always carry a token above every earlier start's: a
+    /// late copy of a start would run a reaped attempt again.
+    fn compose(&mut self, id: &MachineId, mirror: &Mirror, now: Secs, direct: bool) -> (u64, Vec<Call>) {
+        let epoch = self.epoch;
+        let Some(m) = self.machines.get_mut(id) else { return (token(epoch, 0), Vec::new()) };
+        if !m.certain {
+            return (token(epoch, m.counter), Vec::new());
+        }
+        let mut commands = Vec::new();
+        if !m.in_flight {
+            for (task, (attempt, state, why)) in &m.lines {
+                let held = self.held.get(task).is_some_and(|h| {
+                    h.attempt == *attempt && h.at.as_ref().is_some_and(|p| p.machine == *id)
+                });
+                let release = match why.as_deref() {
+                    Some("done") => finished(mirror, task),
+                    _ => !held,
+                };
+                if *state == TaskState::Ended && release {
+                    commands.push(Call::Forget { task: task.to_string(), attempt: *attempt });
+                }
+            }
+            if !commands.is_empty() {
+                m.counter += 1;
+            }
+        }
+        for (task, (attempt, state, _)) in &m.lines {
+            let ours = self
+                .held
+                .get(task)
+                .is_some_and(|h| h.attempt == *attempt && h.at.as_ref().is_some_and(|p| p.machine == *id));
+            if *state != TaskState::Ended && !ours {
+                commands.push(Call::Stop { task: task.to_string(), attempt: *attempt, grace_s: 0.0 });
+            }
+        }
+        let now_token = token(epoch, m.counter);
+        for (task, h) in &mut self.held {
+            let Some(p) = h.at.as_mut().filter(|p| p.machine == *id) else { continue };
+            if let Some(stop) = p.stop {
+                if p.phase != Phase::Done {
+                    let save = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
+                    let grace_s = match (stop, save) {
+                        (Stop::Cancelled, _) | (_, None) => 0.0,
+                        (_, Some(s)) => {
+                            if s.checkpoint_s > 0.0 {
+                                s.save_s
+                            } else {
+                                0.0
+                            }
+                        }
+                    };
+                    // A second stop would end a saving task.
+                    if p.phase != Phase::Saving || grace_s == 0.0 {
+                        commands.push(Call::Stop { task: task.to_string(), attempt: h.attempt, grace_s });
+                    }
+                    p.stop_sent = true;
+                }
+            } else if !p.confirmed && m.up {
+                commands.push(Call::Start { task: task.to_string(), attempt: h.attempt });
+                p.start_token = now_token;
+                p.session = m.session;
+                p.sent = true;
+            }
+        }
+        if direct {
+            m.in_flight = true;
+        }
+        let _ = now;
+        (now_token, commands)
+    }
+
+    /// Direct commands that are due now.
+    pub fn directs(&mut self, mirror: &Mirror, now: Secs) -> Vec<Direct> {
+        let mut due: HashSet<MachineId> = HashSet::new();
+        for h in self.held.values() {
+            if let Some(p) = &h.at {
+                if (!p.sent && p.stop.is_none()) || (p.stop.is_some() && !p.stop_sent) {
+                    due.insert(p.machine.clone());
+                }
+            }
+        }
+        due.extend(self.machines.iter().filter(|(_, m)| m.probe).map(|(id, _)| id.clone()));
+        let mut out = Vec::new();
+        for id in due {
+            let Some(m) = self.machines.get_mut(&id) else { continue };
+            if m.in_flight || now < m.direct_bad_until || m.session == 0 {
+                continue;
+            }
+            let (Some(addr), session) = (m.addr.clone(), m.session) else { continue };
+            m.probe = false;
+            if !m.certain {
+                m.in_flight = true;
+                let body = Commands { token: token(self.epoch, m.counter), session, commands: Vec::new() };
+                out.push(Direct { machine: id, addr, body });
+                continue;
+            }
+            let (token, commands) = self.compose(&id, mirror, now, true);
+            out.push(Direct { machine: id, addr, body: Commands { token, session, commands } });
+        }
+        out
+    }
+
+    /// A direct command was answered (with the worker's report), or not.
+    pub fn direct_done(
+        &mut self,
+        id: &MachineId,
+        sent: &Commands,
+        answer: Option<&Report>,
+        mirror: &Mirror,
+        now: Secs,
+    ) {
+        let (epoch, report_s) = (self.epoch, self.timing.report_s);
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.in_flight = false;
+        match answer {
+            Some(r) if r.machine == *id && token_epoch(r.token) <= epoch => {
+                if r.token > token(epoch, m.counter) {
+                    m.counter = (r.token & 0xff_ffff) + 1;
+                }
+                if r.token > sent.token || r.session != sent.session {
+                    m.probe = true;
+                    for p in self.held.values_mut().filter_map(|h| h.at.as_mut()) {
+                        if p.machine == *id && !p.confirmed {
+                            p.sent = false;
+                        }
+                    }
+                }
+                self.take_in(r, mirror, now);
+            }
+            _ => {
+                // It may be executed yet: whatever it held is dead once the
+                // worker has seen a higher token.
+                m.counter += 1;
+                m.direct_bad_until = now + report_s;
+            }
+        }
+    }
+
+    /// Takes in the leader's orders.
+    pub fn orders(&mut self, o: &Orders, mirror: &Mirror, now: Secs) {
+        if o.epoch != self.epoch || o.node != self.node {
+            return;
+        }
+        for deal in &o.deals {
+            let live = mirror.jobs.get(&deal.job).is_some_and(|j| j.live());
+            let mut fresh = false;
+            for &(index, attempt) in &deal.tasks {
+                let task = Task { job: deal.job.clone(), index };
+                let seen = self.seen.entry(task.clone()).or_insert(0);
+                if attempt <= *seen {
+                    continue;
+                }
+                if !mirror.jobs.contains_key(&deal.job) {
+                    // The mirror is behind the leader's: the deal comes again.
+                    continue;
+                }
+                *seen = attempt;
+                fresh = true;
+                if let Some(old) = self.held.get(&task) {
+                    tracing::warn!(%task, old = old.attempt, attempt, "dealt a task that is held already");
+                    continue;
+                }
+                self.held
+                    .insert(task.clone(), Held { attempt, at: None, since: now, avoid: deal.avoid.clone() });
+                if !live {
+                    self.leave(&task, Leave::Stopped);
+                }
+            }
+            if fresh {
+                if let Some(room) = &deal.zone_room {
+                    self.bounds.insert(deal.job.clone(), Bounds { room: room.iter().cloned().collect() });
+                }
+            }
+        }
+        self.dirty |= !o.deals.is_empty();
+        if o.seq <= self.orders_seq {
+            return;
+        }
+        self.orders_seq = o.seq;
+        self.gone.retain(|g| g.seq > o.ack);
+        for (task, attempt) in &o.recall {
+            self.recall(task, *attempt, Stop::Recalled);
+        }
+        for (id, m) in &mut self.machines {
+            let drain = o.drain.contains(id);
+            self.dirty |= drain != m.draining;
+            m.draining = drain;
+        }
+    }
+
+    fn recall(&mut self, task: &Task, attempt: u64, why: Stop) {
+        let epoch = self.epoch;
+        let Some(h) = self.held.get_mut(task).filter(|h| h.attempt == attempt) else { return };
+        match h.at.as_mut() {
+            None => self.leave(task, Leave::Stopped),
+            Some(p) if p.stop.is_none() && p.phase != Phase::Done => {
+                p.stop = Some(why);
+                p.stop_sent = false;
+                if !p.confirmed {
+                    if p.start_token == u64::MAX {
+                        // No start was ever sent, or it is proven dead.
+                        return self.leave(task, Leave::Stopped);
+                    }
+                    let (id, floor) = (p.machine.clone(), p.start_token);
+                    if let Some(m) = self.machines.get_mut(&id) {
+                        m.raise(epoch, floor);
+                        m.probe = true;
+                    }
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// A job changed in the mirror: cancelled tasks are stopped, finished
+    /// ones are let go of.
+    pub fn job_changed(&mut self, id: &JobId, mirror: &Mirror) {
+        let Some(job) = mirror.jobs.get(id) else { return };
+        let from = Task { job: id.clone(), index: 0 };
+        let to = Task { job: id.clone(), index: u32::MAX };
+        let tasks: Vec<(Task, u64, bool)> = self
+            .held
+            .range(from..=to)
+            .map(|(t, h)| (t.clone(), h.attempt, h.at.as_ref().is_some_and(|p| p.phase == Phase::Done)))
+            .collect();
+        for (task, attempt, done) in tasks {
+            if done && finished(mirror, &task) {
+                self.held.remove(&task);
+                self.dirty = true;
+            } else if job.record.cancelled {
+                self.recall(&task, attempt, Stop::Cancelled);
+            }
+        }
+        if job.record.done || job.record.cancelled {
+            self.bounds.remove(id);
+        }
+    }
+
+    fn machine_free(&self, id: &MachineId, m: &Machine, mirror: &Mirror) -> Res {
+        let Some(total) = mirror.catalog.as_ref().and_then(|c| c.get(&m.kind)).map(|t| t.total()) else {
+            return Res::default();
+        };
+        let mut free = total;
+        let spec = |job: &JobId| mirror.jobs.get(job).and_then(|j| j.record.spec.clone());
+        for (task, (_, state, _)) in &m.lines {
+            if *state != TaskState::Ended {
+                match spec(&task.job) {
+                    Some(s) => free.take(&s.ask()),
+                    None => return Res::default(),
+                }
+            }
+        }
+        for (task, h) in &self.held {
+            if h.at.as_ref().is_some_and(|p| p.machine == *id)
+                && m.lines.get(task).is_none_or(|l| l.0 != h.attempt)
+            {
+                if let Some(s) = spec(&task.job) {
+                    free.take(&s.ask());
+                }
+            }
+        }
+        free
+    }
+
+    fn open(&self, m: &Machine, now: Secs) -> bool {
+        m.up && m.listed
+            && m.certain
+            && !m.draining
+            && m.notice_until.is_none()
+            && !m.faulty()
+            && m.heard.is_some_and(|h| now - h < self.timing.report_s * 2.5)
+    }
+
+    /// Places what is queued, the highest rank first, until `more` says that
+    /// the round's time is over; the next round goes on with the rest.
+    pub fn place(&mut self, mirror: &Mirror, now: Secs, mut more: impl FnMut() -> bool) {
+        let mut queue: Vec<(Rank, Secs, Task)> = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.at.is_none())
+            .filter_map(|(t, h)| {
+                let spec = mirror.jobs.get(&t.job)?.record.spec.as_ref()?;
+                Some((spec.rank, h.since, t.clone()))
+            })
+            .collect();
+        if queue.is_empty() {
+            return;
+        }
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let mut free: BTreeMap<MachineId, Res> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| self.open(m, now))
+            .map(|(id, m)| (id.clone(), self.machine_free(id, m, mirror)))
+            .collect();
+        let mut kept = Kept::default();
+        for (_, _, task) in queue {
+            if !more() {
+                self.dirty = true;
+                return;
+            }
+            let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.clone()) else { continue };
+            match self.choose(&task, &spec, &free, &kept) {
+                Some(id) => {
+                    if let Some(f) = free.get_mut(&id) {
+                        f.take(&spec.ask());
+                    }
+                    self.put_on(&task, &spec, &id, mirror, now);
+                }
+                None => self.no_room(&task, &spec, &free, &mut kept, mirror, now),
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        task: &Task,
+        spec: &JobSpec,
+        free: &BTreeMap<MachineId, Res>,
+        kept: &Kept,
+    ) -> Option<MachineId> {
+        let held = self.held.get(task)?;
+        let bounds = self.bounds.get(&task.job);
+        let (mut zones, mut machines): (HashMap<&str, u32>, HashMap<&str, u32>) = Default::default();
+        if spec.whole() {
+            let from = Task { job: task.job.clone(), index: 0 };
+            let to = Task { job: task.job.clone(), index: u32::MAX };
+            for (_, h) in self.held.range(from..=to) {
+                if let Some(m) = h.at.as_ref().and_then(|p| Some((p, self.machines.get(&p.machine)?))) {
+                    *zones.entry(&m.1.zone).or_default() += 1;
+                    *machines.entry(&m.0.machine).or_default() += 1;
+                }
+            }
+        }
+        let candidates = free.iter().filter_map(|(id, f)| {
+            let m = self.machines.get(id)?;
+            if held.avoid.contains(id) || m.lines.contains_key(task) || kept.0.contains_key(id) {
+                return None;
+            }
+            if let Some(b) = bounds {
+                if b.room.get(&m.zone).copied().unwrap_or(0) == 0 {
+                    return None;
+                }
+            } else if spec.one_zone || spec.scatter {
+                return None;
+            }
+            Some(Candidate {
+                id,
+                kind: &m.kind,
+                zone: &m.zone,
+                spot: m.spot,
+                free: *f,
+                cached: m.images.iter().any(|i| i.0 == spec.image),
+                zone_peers: zones.get(&*m.zone).copied().unwrap_or(0),
+                machine_peers: machines.get(&**id).copied().unwrap_or(0),
+            })
+        });
+        place::pick(spec, candidates).map(|c| c.id.into())
+    }
+
+    fn put_on(&mut self, task: &Task, spec: &JobSpec, id: &MachineId, mirror: &Mirror, now: Secs) {
+        let cache =
+            mirror.catalog.as_ref().and_then(|c| c.get(&self.machines.get(id)?.kind).map(|t| t.cache_gb));
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.images.retain(|i| i.0 != spec.image);
+        m.images.push_front((spec.image.clone(), spec.image_gb));
+        while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > cache.unwrap_or(0.0) {
+            m.images.pop_back();
+        }
+        m.idle_since = now;
+        let zone = m.zone.clone();
+        let session = m.session;
+        if let Some(b) = self.bounds.get_mut(&task.job) {
+            if spec.one_zone {
+                b.room.retain(|z, _| *z == zone);
+            }
+            if let Some(n) = b.room.get_mut(&zone) {
+                *n = n.saturating_sub(1);
+            }
+        }
+        if let Some(h) = self.held.get_mut(task) {
+            h.at = Some(Place {
+                machine: id.clone(),
+                session,
+                phase: Phase::Starting,
+                start_token: u64::MAX,
+                sent: false,
+                confirmed: false,
+                stop: None,
+                stop_sent: false,
+                since: now,
+            });
+            self.dirty = true;
+        }
+    }
+
+    /// No machine can take the task as things are: make room by stopping
+    /// lower work, or pass it back to the leader.
+    fn no_room(
+        &mut self,
+        task: &Task,
+        spec: &JobSpec,
+        free: &BTreeMap<MachineId, Res>,
+        kept: &mut Kept,
+        mirror: &Mirror,
+        now: Secs,
+    ) {
+        let Some(held) = self.held.get(task) else { return };
+        if now - held.since < self.timing.report_s + spec.save_s {
+            let bounds = self.bounds.get(&task.job);
+            let mut best: Option<(f64, MachineId, Vec<Attempt>)> = None;
+            for (id, f) in free {
+                let Some(m) = self.machines.get(id) else { continue };
+                let zone_full = bounds.is_some_and(|b| b.room.get(&m.zone).copied().unwrap_or(0) == 0);
+                if held.avoid.contains(id)
+                    || zone_full
+                    || m.lines.contains_key(task)
+                    || !place::allowed(spec, &m.kind, &m.zone, m.spot)
+                {
+                    continue;
+                }
+                let promised = kept.0.get(id).copied().unwrap_or_default();
+                if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror) {
+                    if best.as_ref().is_none_or(|b| lost < b.0) {
+                        best = Some((lost, id.clone(), victims));
+                    }
+                }
+            }
+            if let Some((_, id, victims)) = best {
+                for (t, attempt) in victims {
+                    self.recall(&t, attempt, Stop::Preempted);
+                }
+                kept.0.entry(id).or_default().give(&spec.ask());
+                return;
+            }
+        }
+        self.leave(task, Leave::Passed);
+    }
+
+    /// Lower tasks on a machine whose end makes room, the youngest first.
+    /// Room that is being made already counts.
+    fn victims(
+        &self,
+        id: &MachineId,
+        free: Res,
+        promised: Res,
+        spec: &JobSpec,
+        mirror: &Mirror,
+    ) -> Option<(Vec<Attempt>, f64)> {
+        let ask = spec.ask();
+        let mut room = free;
+        room.take(&promised);
+        let mut able: Vec<(Rank, Secs, &Task, u64, Res)> = Vec::new();
+        for (t, h) in &self.held {
+            let Some(p) = h.at.as_ref().filter(|p| p.machine == *id && p.phase != Phase::Done) else {
+                continue;
+            };
+            let Some(s) = mirror.jobs.get(&t.job).and_then(|j| j.record.spec.as_ref()) else { continue };
+            if p.stop.is_some() {
+                room.give(&s.ask());
+            } else if s.rank > spec.rank && s.shape == Shape::Array {
+                able.push((s.rank, p.since, t, h.attempt, s.ask()));
+            }
+        }
+        able.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        let (mut victims, mut lost) = (Vec::new(), 0.0);
+        for (_, _, t, attempt, res) in able {
+            if room.fits(&ask) {
+                break;
+            }
+            room.give(&res);
+            lost += res.cpus;
+            victims.push((t.clone(), attempt));
+        }
+        room.fits(&ask).then_some((victims, lost))
+    }
+
+    /// Stops what has to move off machines that will be taken.
+    pub fn heed_notices(&mut self, mirror: &Mirror, now: Secs) {
+        let mut moving = Vec::new();
+        for (task, h) in &self.held {
+            let Some(p) = &h.at else { continue };
+            let Some(until) = self.machines.get(&p.machine).and_then(|m| m.notice_until) else { continue };
+            if p.stop.is_some() || p.phase == Phase::Done {
+                continue;
+            }
+            let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref()) else {
+                continue;
+            };
+            let left = spec.estimate_s - (now - p.since);
+            let ends_in_time =
+                p.phase == Phase::Running && spec.shape == Shape::Array && now + left.max(0.0) < until;
+            if !ends_in_time {
+                moving.push((task.clone(), h.attempt));
+            }
+        }
+        for (task, attempt) in moving {
+            self.recall(&task, attempt, Stop::Notice);
+        }
+    }
+
+    /// The whole state of this part for the leader.
+    pub fn snapshot(&mut self, mirror: &Mirror, now: Secs) -> PartReport {
+        self.seq += 1;
+        self.dirty = false;
+        let mut counts: HashMap<&MachineId, u32> = HashMap::new();
+        for p in self.held.values().filter_map(|h| h.at.as_ref()) {
+            *counts.entry(&p.machine).or_default() += 1;
+        }
+        let machines = self
+            .machines
+            .iter()
+            .map(|(id, m)| {
+                let tasks = counts.get(id).copied().unwrap_or(0).max(m.lines.len() as u32);
+                MachineView {
+                    id: id.clone(),
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    certain: m.certain,
+                    heard: m.heard.is_some(),
+                    listed: m.listed,
+                    silent_s: m.heard.map_or(0.0, |h| now - h),
+                    idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
+                    free: self.machine_free(id, m, mirror),
+                    open: self.open(m, now),
+                    noticed: m.notice_until.is_some(),
+                    faulty: m.faulty(),
+                    draining: m.draining,
+                    tasks,
+                }
+            })
+            .collect();
+        let held = self
+            .held
+            .iter()
+            .map(|(t, h)| HeldView {
+                task: t.clone(),
+                attempt: h.attempt,
+                phase: h.at.as_ref().map_or(Phase::Queued, |p| p.phase),
+                machine: h.at.as_ref().map(|p| p.machine.clone()),
+            })
+            .collect();
+        PartReport {
+            epoch: self.epoch,
+            node: self.node.clone(),
+            inc: self.inc,
+            seq: self.seq,
+            machines,
+            held,
+            gone: self.gone.clone(),
+        }
+    }
+
+    /// Forgets what nobody needs any more.
+    pub fn tidy(&mut self, mirror: &Mirror) {
+        let before = self.held.len();
+        self.held
+            .retain(|t, h| !(h.at.as_ref().is_some_and(|p| p.phase == Phase::Done) && finished(mirror, t)));
+        self.dirty |= self.held.len() != before;
+        let held = &self.held;
+        self.seen.retain(|t, _| held.contains_key(t) || mirror.jobs.get(&t.job).is_none_or(|j| j.live()));
+    }
+
+    /// Machines heard of, for tests and logs.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+/// Machines on which room is being made this round, and how much of it is
+/// promised: nobody of lower rank gets it meanwhile.
+#[derive(Debug, Default)]
+struct Kept(BTreeMap<MachineId, Res>);
+
+/// Whether a task needs no more runs, by what is committed.
+fn finished(mirror: &Mirror, task: &Task) -> bool {
+    mirror
+        .jobs
+        .get(&task.job)
+        .is_some_and(|j| j.record.done || j.record.cancelled || j.finished.has(task.index))
+}
+
+impl Place {
+    fn adopted(machine: &MachineId, session: u64, token: u64, now: Secs) -> Place {
+        Place {
+            machine: machine.clone(),
+            session,
+            phase: Phase::Running,
+            start_token: token,
+            sent: true,
+            confirmed: true,
+            stop: None,
+            stop_sent: false,
+            since: now,
+        }
+    }
+}
+
+impl Machine {
+    fn unknown(now: Secs) -> Machine {
+        Machine {
+            kind: "".into(),
+            zone: "".into(),
+            spot: false,
+            addr: None,
+            listed: false,
+            up: false,
+            certain: false,
+            session: 0,
+            seq: 0,
+            counter: 0,
+            heard: None,
+            lines: BTreeMap::new(),
+            notice_until: None,
+            draining: false,
+            errors: HashSet::new(),
+            in_flight: false,
+            direct_bad_until: 0.0,
+            idle_since: now,
+            images: VecDeque::new(),
+            probe: false,
+        }
+    }
+
+    /// A machine on which tasks of two jobs failed is taken out of use.
+    fn faulty(&self) -> bool {
+        self.errors.len() >= 2
+    }
+
+    /// Makes the token higher than `floor`, if it isn't.
+    fn raise(&mut self, epoch: u64, floor: u64) {
+        if floor != u64::MAX && token(epoch, self.counter) <= floor {
+            self.counter += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,336 @@
+//! The mirror: what the state service holds, kept in memory.
+//!
+//! | key | value |
+//! | --- | --- |
+//! | `fw/epoch` | [`Epoch`]: live members, leader |
+//! | `fw/m/NAME` | [`Member`], attached to the member's lease |
+//! | `fw/j/ID` | [`JobRecord`] |
+//! | `fw/f/ID/N` | finished tasks of the N-th chunk, a bitmap in hex |
+//! | `fw/r/MACHINE` | [`RosterRecord`] |
+//! | `fw/c` | the cloud's catalogue |
+
+use crate::state::{Entry, Event};
+use crate::wire::{Catalog, JobId, JobSpec, MachineId};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// The key of the epoch.
+pub const EPOCH_KEY: &str = "fw/epoch";
+/// The key of the catalogue.
+pub const CATALOG_KEY: &str = "fw/c";
+
+/// A member as its key tells it: its lease is its incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub inc: u64,
+}
+
+/// Who is entitled to act, and in what role.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Epoch {
+    pub n: u64,
+    /// Name to incarnation.
+    pub members: BTreeMap<String, u64>,
+    pub leader: String,
+}
+
+/// A job as it is stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The spec; left out once the job is done.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<Arc<JobSpec>>,
+    /// The epoch in which it was accepted.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// The time of day, in milliseconds, when it was accepted.
+    #[serde(rename = "t")]
+    pub at_ms: u64,
+    /// How many tasks it has.
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "x", default)]
+    pub cancelled: bool,
+    #[serde(rename = "d", default)]
+    pub done: bool,
+}
+
+/// A machine as it is stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RosterRecord {
+    #[serde(rename = "b")]
+    pub kind: Arc<str>,
+    #[serde(rename = "z")]
+    pub zone: Arc<str>,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Whether tasks may have been started on it: written before the first.
+    #[serde(rename = "u", default)]
+    pub up: bool,
+    /// The time of day, in milliseconds, when it was rented or found.
+    #[serde(rename = "t", default)]
+    pub at_ms: u64,
+}
+
+/// A growing set of task numbers.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Bits {
+    words: Vec<u64>,
+    count: u32,
+}
+
+impl Bits {
+    /// Whether `i` is in.
+    pub fn has(&self, i: u32) -> bool {
+        self.words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
+    }
+    /// Puts `i` in; false if it was.
+    pub fn add(&mut self, i: u32) -> bool {
+        if self.has(i) {
+            return false;
+        }
+        let word = i as usize / 64;
+        if self.words.len() <= word {
+            self.words.resize(word + 1, 0);
+        }
+        self.words[word] |= 1 << (i % 64);
+        self.count += 1;
+        true
+    }
+    /// Takes `i` out; false if it wasn't in.
+    pub fn remove(&mut self, i: u32) -> bool {
+        if !self.has(i) {
+            return false;
+        }
+        self.words[i as usize / 64] &= !(1 << (i % 64));
+        self.count -= 1;
+        true
+    }
+    /// How many are in.
+    pub fn len(&self) -> u32 {
+        self.count
+    }
+    /// Whether none is in.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+    /// All that are in, in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.words.iter().enumerate().flat_map(|(w, &bits)| {
+            (0..64u32).filter(move |b| bits >> b & 1 == 1).map(move |b| w as u32 * 64 + b)
+        })
+    }
+    /// The part from `from` on, `len` long, in hex digits of four tasks each.
+    pub fn hex(&self, from: u32, len: u32) -> String {
+        (0..len.div_ceil(4))
+            .map(|d| {
+                let digit = (0..4).fold(0u32, |acc, b| {
+                    acc | (u32::from(d * 4 + b < len && self.has(from + d * 4 + b)) << b)
+                });
+                char::from_digit(digit, 16).unwrap_or('0')
+            })
+            .collect()
+    }
+    /// Adds what [`Bits::hex`] wrote.
+    pub fn add_hex(&mut self, from: u32, text: &str) {
+        for (d, c) in text.chars().enumerate() {
+            let digit = c.to_digit(16).unwrap_or(0);
+            for b in (0..4).filter(|b| digit >> b & 1 == 1) {
+                self.add(from + d as u32 * 4 + b);
+            }
+        }
+    }
+}
+
+/// A job as the mirror has it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub record: JobRecord,
+    pub version: u64,
+    pub finished: Bits,
+    /// Versions of the chunks of finished tasks.
+    pub chunks: BTreeMap<u32, u64>,
+}
+
+impl Job {
+    /// Neither done nor cancelled.
+    pub fn live(&self) -> bool {
+        !self.record.done && !self.record.cancelled
+    }
+}
+
+/// What an applied event changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    Epoch,
+    Members,
+    Job(JobId),
+    Machine(MachineId),
+    Catalog,
+    Nothing,
+}
+
+/// Everything the state service holds of ours.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    pub epoch: Option<Epoch>,
+    pub epoch_version: u64,
+    pub members: BTreeMap<String, (Member, u64)>,
+    pub jobs: HashMap<JobId, Job>,
+    pub roster: BTreeMap<MachineId, (RosterRecord, u64)>,
+    pub catalog: Option<Arc<Catalog>>,
+    pub catalog_version: u64,
+    /// Tasks per chunk of finished ones.
+    pub chunk: u32,
+}
+
+/// How many tasks one chunk of finished ones covers: its hex digits take at
+/// most half of a value.
+pub fn chunk_tasks(value_kb: f64) -> u32 {
+    ((value_kb * 2048.0) as u32 / 4).max(1) * 4
+}
+
+/// The key of a job's record.
+pub fn job_key(id: &str) -> String {
+    format!("fw/j/{id}")
+}
+/// The key of a chunk of a job's finished tasks.
+pub fn chunk_key(id: &str, chunk: u32) -> String {
+    format!("fw/f/{id}/{chunk}")
+}
+/// The key of a machine.
+pub fn machine_key(id: &str) -> String {
+    format!("fw/r/{id}")
+}
+/// The key of a member.
+pub fn member_key(name: &str) -> String {
+    format!("fw/m/{name}")
+}
+
+impl Mirror {
+    /// An empty mirror.
+    pub fn new(value_kb: f64) -> Mirror {
+        Mirror { chunk: chunk_tasks(value_kb), ..Mirror::default() }
+    }
+
+    /// Takes a full reading in place of everything.
+    pub fn load(&mut self, entries: Vec<Entry>) {
+        *self = Mirror { chunk: self.chunk, ..Mirror::default() };
+        let (chunks, rest): (Vec<_>, Vec<_>) = entries.into_iter().partition(|e| e.key.starts_with("fw/f/"));
+        for e in rest.into_iter().chain(chunks) {
+            self.put(&e.key, e.value, e.version);
+        }
+    }
+
+    /// Applies one event.
+    pub fn apply(&mut self, event: Event) -> Change {
+        match event {
+            Event::Put { key, value, version } => self.put(&key, value, version),
+            Event::Delete { key, version } => self.delete(&key, version),
+        }
+    }
+
+    /// Applies a put; older versions than the known one change nothing.
+    pub fn put(&mut self, key: &str, value: Value, version: u64) -> Change {
+        self.try_put(key, value, version).unwrap_or_else(|| {
+            tracing::warn!(key, "a value in the state service makes no sense; left out");
+            Change::Nothing
+        })
+    }
+
+    fn try_put(&mut self, key: &str, value: Value, version: u64) -> Option<Change> {
+        if key == EPOCH_KEY {
+            let epoch: Epoch = serde_json::from_value(value).ok()?;
+            if version <= self.epoch_version {
+                return Some(Change::Nothing);
+            }
+            self.epoch = Some(epoch);
+            self.epoch_version = version;
+            return Some(Change::Epoch);
+        }
+        if key == CATALOG_KEY {
+            if version <= self.catalog_version {
+                return Some(Change::Nothing);
+            }
+            self.catalog = Some(Arc::new(serde_json::from_value(value).ok()?));
+            self.catalog_version = version;
+            return Some(Change::Catalog);
+        }
+        let mut parts = key.strip_prefix("fw/")?.splitn(3, '/');
+        match (parts.next()?, parts.next()?, parts.next()) {
+            ("m", name, None) => {
+                let known = self.members.get(name).map_or(0, |m| m.1);
+                if version > known {
+                    let member = serde_json::from_value(value).ok()?;
+                    self.members.insert(name.into(), (member, version));
+                }
+                Some(Change::Members)
+            }
+            ("j", id, None) => {
+                let record: JobRecord = serde_json::from_value(value).ok()?;
+                let id: JobId = id.into();
+                match self.jobs.get_mut(&id) {
+                    Some(job) if version <= job.version => return Some(Change::Nothing),
+                    Some(job) => {
+                        job.record = record;
+                        job.version = version;
+                        if job.record.done {
+                            job.finished = Bits::default();
+                            job.chunks.clear();
+                        }
+                    }
+                    None => {
+                        self.jobs.insert(
+                            id.clone(),
+                            Job { record, version, finished: Bits::default(), chunks: BTreeMap::new() },
+                        );
+                    }
+                }
+                Some(Change::Job(id))
+            }
+            ("f", id, Some(chunk)) => {
+                let chunk: u32 = chunk.parse().ok()?;
+                let text: String = serde_json::from_value(value).ok()?;
+                let size = self.chunk;
+                let job = self.jobs.get_mut(id)?;
+                if job.record.done || version <= job.chunks.get(&chunk).copied().unwrap_or(0) {
+                    return Some(Change::Nothing);
+                }
+                job.chunks.insert(chunk, version);
+                job.finished.add_hex(chunk.checked_mul(size)?, &text);
+                Some(Change::Job(id.into()))
+            }
+            ("r", id, None) => {
+                let record: RosterRecord = serde_json::from_value(value).ok()?;
+                let known = self.roster.get(id).map_or(0, |r| r.1);
+                if version > known {
+                    self.roster.insert(id.into(), (record, version));
+                }
+                Some(Change::Machine(id.into()))
+            }
+            _ => None,
+        }
+    }
+
+    fn delete(&mut self, key: &str, version: u64) -> Change {
+        let mut parts = key.strip_prefix("fw/").unwrap_or_default().splitn(3, '/');
+        match (parts.next(), parts.next()) {
+            (Some("m"), Some(name)) => {
+                if self.members.get(name).is_some_and(|m| m.1 < version) {
+                    self.members.remove(name);
+                }
+                Change::Members
+            }
+            (Some("r"), Some(id)) => {
+                if self.roster.get(id).is_some_and(|r| r.1 < version) {
+                    self.roster.remove(id);
+                }
+                Change::Machine(id.into())
+            }
+            (Some("f"), Some(id)) => Change::Job(id.into()),
+            _ => Change::Nothing,
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! finchwood: a cluster scheduler that runs as a few controllers, a rented
+//! fleet of machines and one small state service.
+//!
+//! The library holds everything; `main.rs` only reads arguments. Decision
+//! cores ([`place`], [`fleet`], [`deal`], [`membership`], [`jobs`]) are pure:
+//! time comes in as an argument and effects go out as values. Around them,
+//! actors own their state and talk through channels.
+
+pub mod clock;
+pub mod cloud;
+pub mod controller;
+pub mod deal;
+pub mod fleet;
+pub mod http;
+pub mod jobs;
+pub mod membership;
+pub mod peer;
+pub mod place;
+pub mod policy;
+pub mod rent;
+pub mod settings;
+pub mod state;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,51 @@
+//! The program: reads its arguments and starts a controller.
+
+use clap::Parser;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// One controller of a finchwood cluster.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Args {
+    /// The settings file that the platform hands over (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings, a Lua script.
+    #[arg(long, value_name = "FILE")]
+    policy: Option<PathBuf>,
+}
+
+fn log() {
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("info") => tracing::Level::INFO,
+        _ => tracing::Level::ERROR,
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .init();
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    log();
+    let ready = finchwood::settings::Settings::load(&args.config).map_err(|e| e.to_string()).and_then(|s| {
+        let policy = match &args.policy {
+            Some(path) => finchwood::policy::Policy::load(path).map_err(|e| e.to_string())?,
+            None => Default::default(),
+        };
+        Ok((s, policy))
+    });
+    let ended = ready.and_then(|(settings, policy)| finchwood::controller::run(settings, policy));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("finchwood: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,142 @@
+//! Who is a member, and who leads. The decision is pure; the lease actor
+//! keeps this node's own lease on the state service.
+
+use crate::clock::{self, Secs};
+use crate::jobs::{member_key, Epoch, Member};
+use crate::settings::Settings;
+use crate::state::{spawn, Budget, CallError, Op, Outcome, Store};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Bits of a token that count within an epoch.
+const COUNTER_BITS: u32 = 24;
+
+/// The token of `counter` in `epoch`.
+pub fn token(epoch: u64, counter: u64) -> u64 {
+    (epoch << COUNTER_BITS) | counter.min((1 << COUNTER_BITS) - 1)
+}
+
+/// The epoch that a token belongs to.
+pub fn token_epoch(token: u64) -> u64 {
+    token >> COUNTER_BITS
+}
+
+/// The epoch that should follow, if the live members are not those of the
+/// present one. The leader stays while it lives in the same incarnation.
+pub fn next_epoch(present: Option<&Epoch>, live: &BTreeMap<String, (Member, u64)>) -> Option<Epoch> {
+    let members: BTreeMap<String, u64> = live.iter().map(|(name, (m, _))| (name.clone(), m.inc)).collect();
+    let first = members.keys().next()?.clone();
+    match present {
+        Some(e) if e.members == members => None,
+        Some(e) => {
+            let stays = members.get(&e.leader).is_some_and(|inc| e.members.get(&e.leader) == Some(inc));
+            // A survivor knows more than a newcomer does.
+            let survivor = members
+                .iter()
+                .find(|(name, inc)| e.members.get(*name) == Some(inc))
+                .map(|(name, _)| name.clone());
+            let leader = if stays { e.leader.clone() } else { survivor.unwrap_or(first) };
+            Some(Epoch { n: e.n + 1, members, leader })
+        }
+        None => Some(Epoch { n: 1, members, leader: first }),
+    }
+}
+
+/// The live member that owns a machine: the highest hash of both names.
+pub fn owner<'a>(members: &'a BTreeMap<String, u64>, machine: &str) -> Option<&'a str> {
+    members
+        .keys()
+        .max_by_key(|name| (mix(name, machine), std::cmp::Reverse(name.as_str())))
+        .map(String::as_str)
+}
+
+fn mix(a: &str, b: &str) -> u64 {
+    let mut h = 0xcbf2_9ce4_8422_2325u64;
+    for byte in a.bytes().chain([0xff]).chain(b.bytes()) {
+        h = (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    // FNV alone moves the last bytes too little into the upper bits.
+    h ^= h >> 33;
+    h = h.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h ^= h >> 33;
+    h = h.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    h ^ (h >> 33)
+}
+
+/// What the lease actor tells its owner.
+#[derive(Debug)]
+pub enum LeaseNews {
+    /// This node's lease (its incarnation) can be relied upon until then.
+    Until { inc: u64, until: Secs },
+    /// The lease has ended; a new one will follow.
+    Lost,
+}
+
+/// Starts the actor that holds this node's lease and member key.
+pub fn lease_actor<F>(settings: &Settings, budget: Budget, tell: F)
+where
+    F: Fn(LeaseNews) -> bool + Send + 'static,
+{
+    let store = Store::new(settings);
+    let key = member_key(&settings.node_name);
+    let life = settings.member_life_s();
+    spawn("lease", move || loop {
+        let pause = life / 24.0;
+        let Some((lease, sent)) = join(&store, &budget, &key, life) else {
+            std::thread::sleep(Duration::from_secs_f64(pause));
+            continue;
+        };
+        let mut until = sent + clock::usable(life);
+        if !tell(LeaseNews::Until { inc: lease, until }) {
+            return;
+        }
+        let mut gap = life / 5.0;
+        loop {
+            std::thread::sleep(Duration::from_secs_f64(gap));
+            budget.force_call();
+            let sent = clock::now();
+            match store.renew(lease) {
+                Ok(true) => {
+                    gap = life / 5.0;
+                    until = until.max(sent + clock::usable(life));
+                    if !tell(LeaseNews::Until { inc: lease, until }) {
+                        return;
+                    }
+                }
+                Ok(false) => {
+                    tracing::warn!(lease, "the member lease has ended");
+                    if !tell(LeaseNews::Lost) {
+                        return;
+                    }
+                    break;
+                }
+                // Ask more often while it is refused, so that an outage's
+                // end is noticed soon.
+                Err(_) => gap = pause.max(0.3),
+            }
+        }
+    });
+}
+
+/// A new lease with the member key attached to it.
+fn join(store: &Store, budget: &Budget, key: &str, life: Secs) -> Option<(u64, Secs)> {
+    budget.force_call();
+    let version = store.get(key).ok()?.map_or(0, |e| e.version);
+    budget.force_call();
+    let sent = clock::now();
+    let lease = match store.lease(life) {
+        Ok(lease) => lease,
+        Err(CallError::Status(code, _)) => {
+            tracing::debug!(code, "no member lease yet");
+            return None;
+        }
+        Err(CallError::Silent) => return None,
+    };
+    budget.force_call();
+    let put = Op::Put { key: key.into(), value: json!(Member { inc: lease }), lease: Some(lease) };
+    match store.commit(&[(key.into(), version)], &[put]) {
+        Outcome::Done(_) => Some((lease, sent)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,128 @@
+//! What controllers say to each other, in CBOR, and the actors that say it.
+
+use crate::clock::{self, Secs};
+use crate::fleet::{Orders, PartReport};
+use crate::settings::Settings;
+use crate::state::spawn;
+use crossbeam::channel::{bounded, Sender};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A message between controllers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// A part's state, to the leader.
+    Part(PartReport),
+    /// The leader's orders, to a part.
+    Orders(Orders),
+    /// Nothing but a sign of life.
+    Hello,
+}
+
+impl Message {
+    fn kind(&self) -> u8 {
+        match self {
+            Message::Part(_) => 0,
+            Message::Orders(_) => 1,
+            Message::Hello => 2,
+        }
+    }
+}
+
+/// A message with its address.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Envelope {
+    pub from: String,
+    pub to: String,
+    /// Whether the sender reaches the state service.
+    pub fresh: bool,
+    pub message: Message,
+}
+
+impl Envelope {
+    /// Reads CBOR; `None` if it is no message.
+    pub fn decode(bytes: &[u8]) -> Option<Envelope> {
+        ciborium::from_reader(bytes).ok()
+    }
+    /// Writes CBOR.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        if let Err(e) = ciborium::into_writer(self, &mut bytes) {
+            tracing::error!(%e, "a message can't be written");
+        }
+        bytes
+    }
+}
+
+/// The senders, one for each of the others.
+pub struct Peers {
+    boxes: HashMap<String, Sender<Envelope>>,
+}
+
+impl Peers {
+    /// Starts an actor for each other controller. A newer message of a kind
+    /// replaces an older one that hasn't gone out. What can't be delivered
+    /// goes through a third controller, since two zones may be apart while
+    /// both still reach the rest.
+    pub fn start(settings: &Settings) -> Peers {
+        let mut boxes = HashMap::new();
+        let timeout = settings.params.workers.report_s / 3.0;
+        for m in &settings.members {
+            let (mailbox, inbox) = bounded::<Envelope>(16);
+            let others: Vec<SocketAddr> =
+                settings.members.iter().filter(|o| o.node_name != m.node_name).map(|o| o.endpoint).collect();
+            let to = m.endpoint;
+            spawn(&format!("peer-{}", m.node_name), move || {
+                let agent = ureq::AgentBuilder::new()
+                    .timeout_connect(Duration::from_secs_f64(timeout / 2.0))
+                    .timeout(Duration::from_secs_f64(timeout))
+                    .redirects(0)
+                    .build();
+                let mut apart_until: Secs = 0.0;
+                while let Ok(first) = inbox.recv() {
+                    let mut latest: HashMap<u8, Envelope> = HashMap::new();
+                    latest.insert(first.message.kind(), first);
+                    while let Ok(e) = inbox.try_recv() {
+                        latest.insert(e.message.kind(), e);
+                    }
+                    for e in latest.into_values() {
+                        let bytes = e.encode();
+                        if clock::now() >= apart_until {
+                            if send(&agent, to, &bytes) {
+                                continue;
+                            }
+                            apart_until = clock::now() + timeout * 3.0;
+                        }
+                        let _ = others.iter().any(|o| send(&agent, *o, &bytes));
+                    }
+                }
+            });
+            boxes.insert(m.node_name.clone(), mailbox);
+        }
+        Peers { boxes }
+    }
+
+    /// Queues a message; a full mailbox drops it, as all are repeated.
+    pub fn send(&self, envelope: Envelope) {
+        if let Some(b) = self.boxes.get(&envelope.to) {
+            let _ = b.try_send(envelope);
+        }
+    }
+
+    /// The names of the others.
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.boxes.keys()
+    }
+}
+
+fn send(agent: &ureq::Agent, to: SocketAddr, bytes: &[u8]) -> bool {
+    match agent.post(&format!("http://{to}/peer")).send_bytes(bytes) {
+        Ok(r) => {
+            let _ = r.into_string();
+            true
+        }
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,49 @@
+//! Where a task goes: the paper's filter and cost, and our order of ties.
+
+use crate::wire::{JobSpec, Res};
+
+/// A machine as the placement sees it.
+#[derive(Debug, Clone)]
+pub struct Candidate<'a> {
+    pub id: &'a str,
+    pub kind: &'a str,
+    pub zone: &'a str,
+    pub spot: bool,
+    pub free: Res,
+    /// Whether the task's image is likely there.
+    pub cached: bool,
+    /// Tasks of the same job in the machine's zone, and on the machine.
+    pub zone_peers: u32,
+    pub machine_peers: u32,
+}
+
+/// Whether the job's own wishes allow a machine of this type, zone and kind.
+pub fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.types.as_ref().is_none_or(|t| t.iter().any(|x| &**x == kind))
+        && spec.zone.as_ref().is_none_or(|z| &**z == zone)
+}
+
+/// HIOBS' fragmentation cost: what is left of the resource that counts.
+pub fn cost(free: &Res, ask: &Res) -> f64 {
+    if ask.gpus > 0.0 {
+        free.gpus - ask.gpus
+    } else {
+        free.cpus - ask.cpus
+    }
+}
+
+/// Steps in which costs count as equal: a hundredth of a CPU.
+fn steps(cost: f64) -> i64 {
+    (cost * 100.0).round() as i64
+}
+
+/// Drops the machines that lack anything asked for or aren't allowed, and
+/// picks the one with the lowest cost. Ties go to the zone, then the machine
+/// with fewer tasks of the job, then to a cached image, then by name.
+pub fn pick<'a>(spec: &JobSpec, machines: impl Iterator<Item = Candidate<'a>>) -> Option<Candidate<'a>> {
+    let ask = spec.ask();
+    machines
+        .filter(|m| allowed(spec, m.kind, m.zone, m.spot) && m.free.fits(&ask))
+        .min_by_key(|m| (steps(cost(&m.free, &ask)), m.zone_peers, m.machine_peers, !m.cached, m.id))
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,241 @@
+//! The settings file that the platform hands over. Unknown fields are
+//! ignored; a missing or senseless one is named in a single line.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use thiserror::Error;
+
+/// Why the settings can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings: cannot read {path}: {why}")]
+    Unreadable { path: String, why: String },
+    /// The text isn't TOML or a field is missing or of the wrong kind.
+    #[error("settings: {0}")]
+    Malformed(String),
+    /// A field holds a value that makes no sense.
+    #[error("settings: field `{field}`: {why}")]
+    Senseless { field: String, why: String },
+}
+
+/// One controller's settings.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub node_name: String,
+    pub zone: String,
+    pub client_listen: SocketAddr,
+    pub back: SocketAddr,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub services: Services,
+    pub params: Params,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Member {
+    pub node_name: String,
+    pub zone: String,
+    pub endpoint: SocketAddr,
+}
+
+/// Where the outside systems listen.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+/// What is the same for every controller of a deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub initial_size: usize,
+    pub zones: Vec<String>,
+    pub time_bound_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: MachineLimits,
+}
+
+/// A team's guarantee and cap; 0 means none of it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// The cap on CPUs (no cap where the file says 0).
+    pub fn cpu_cap(&self) -> f64 {
+        if self.cpus_max > 0.0 {
+            self.cpus_max
+        } else {
+            f64::INFINITY
+        }
+    }
+    /// The cap on GPUs (no cap where the file says 0).
+    pub fn gpu_cap(&self) -> f64 {
+        if self.gpus_max > 0.0 {
+            self.gpus_max
+        } else {
+            f64::INFINITY
+        }
+    }
+}
+
+/// An aim that the users state for a class of jobs.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+/// Timing of the workers.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud interface.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// What this process may use.
+#[derive(Debug, Clone, Deserialize)]
+pub struct MachineLimits {
+    pub core_share: f64,
+    pub ram_mb: f64,
+    pub max_connections: usize,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable {
+            path: path.display().to_string(),
+            why: e.to_string(),
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from text and checks them.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Settings =
+            toml::from_str(text).map_err(|e| SettingsError::Malformed(one_line(&e.to_string())))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let p = &self.params;
+        let positive = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.state.txn_ops", p.state.txn_ops as f64),
+            ("params.cloud.rps", p.cloud.rps),
+            ("params.machine_limits.core_share", p.machine_limits.core_share),
+            ("params.machine_limits.ram_mb", p.machine_limits.ram_mb),
+            ("params.machine_limits.max_connections", p.machine_limits.max_connections as f64),
+            ("params.initial_size", p.initial_size as f64),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return senseless(field, format!("{value} is not above zero"));
+            }
+        }
+        let not_negative =
+            [("params.time_bound_ms", p.time_bound_ms), ("params.cloud.list_lag_s", p.cloud.list_lag_s)];
+        for (field, value) in not_negative {
+            if !value.is_finite() || value < 0.0 {
+                return senseless(field, format!("{value} is not zero or more"));
+            }
+        }
+        if p.workers.lease_s <= p.workers.report_s {
+            return senseless("params.workers.lease_s", "is not longer than report_s".into());
+        }
+        if self.node_name.is_empty() || self.node_name.contains(['/', ' ']) {
+            return senseless("node_name", "is empty or holds a slash or space".into());
+        }
+        if p.zones.is_empty() {
+            return senseless("params.zones", "names no zone".into());
+        }
+        for m in &self.members {
+            if m.node_name == self.node_name {
+                return senseless("members", format!("{} is this node itself", m.node_name));
+            }
+        }
+        for t in &p.teams {
+            for (what, v) in
+                [("cpus", t.cpus), ("cpus_max", t.cpus_max), ("gpus", t.gpus), ("gpus_max", t.gpus_max)]
+            {
+                if !v.is_finite() || v < 0.0 {
+                    return senseless("params.teams", format!("{}: {what} = {v}", t.name));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The life of a member's lease on the state service: two fifths of a
+    /// worker's lease, so that a successor has the rest of it to take over.
+    pub fn member_life_s(&self) -> f64 {
+        self.params.workers.lease_s * 0.4
+    }
+
+    /// A team by name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.params.teams.iter().find(|t| t.name == name)
+    }
+}
+
+fn senseless<T>(field: &str, why: String) -> Result<T, SettingsError> {
+    Err(SettingsError::Senseless { field: field.into(), why })
+}
+
+fn one_line(text: &str) -> String {
+    let parts: Vec<&str> = text
+        .lines()
+        .map(str::trim)
+        .filter(|l| !l.is_empty() && !l.starts_with('|') && !l.starts_with('^'))
+        .collect();
+    parts.join("; ")
+}
