Commit finished tasks once, deal gangs, end tasks with their worker's lease

What is committed is now applied to the mirror at once. A worker without an answer for its whole lease holds nothing: its tasks are free again.

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -30,6 +30,8 @@
     catalog_pending: bool,
     list_pending: bool,
     rented_at: Secs,
+    /// What is being committed as finished.
+    finishing: HashMap<JobId, Vec<Op>>,
     /// Rented by this leader, on their way to the roster.
     fresh: HashMap<MachineId, RosterRecord>,
 }
@@ -71,9 +73,9 @@
     /// Commits what is seen done: the chunks of finished tasks, or the end of
     /// the job. Only then may anybody call it done, or a worker forget it.
     fn commit_finished(&mut self, now: Secs) {
-        for f in self.leader.finishes() {
+        for f in self.leader.finishes(now) {
             let Some(job) = self.mirror.jobs.get(&f.job) else {
-                self.leader.finish_answered(&f.job);
+                self.leader.finish_answered(&f.job, now);
                 continue;
             };
             let mut all = job.finished.clone();
@@ -106,17 +108,32 @@
                     });
                 }
             }
-            let write = Write { conditions, ops, deadline: now + 2.0, tag: Tag::Finish(f.job.clone()) };
+            let write =
+                Write { conditions, ops: ops.clone(), deadline: now + 2.0, tag: Tag::Finish(f.job.clone()) };
             if self.writer.send(write).is_err() {
-                self.leader.finish_answered(&f.job);
+                self.leader.finish_answered(&f.job, now);
+            } else {
+                self.renting.finishing.insert(f.job.clone(), ops);
             }
         }
     }
 
-    pub(super) fn finish_written(&mut self, job: &JobId, _outcome: Outcome) {
-        // Whatever came of it, the mirror will tell; a second try with an
-        // outdated version is refused.
-        self.leader.finish_answered(job);
+    /// What was committed is known at once: a second commit with the versions
+    /// of before would only be refused, and count against the rate.
+    pub(super) fn finish_written(&mut self, job: &JobId, outcome: Outcome, now: Secs) {
+        let ops = self.renting.finishing.remove(job).unwrap_or_default();
+        match outcome {
+            Outcome::Done(version) => {
+                for op in ops {
+                    if let Op::Put { key, value, .. } = op {
+                        self.mirror.put(&key, value, version);
+                    }
+                }
+                self.job_changed(job);
+                self.leader.finish_answered(job, now);
+            }
+            _ => self.leader.finish_answered(job, now + self.settings.params.workers.report_s / 6.0),
+        }
     }
 
     fn write_roster(&mut self, id: &MachineId, record: Option<RosterRecord>, now: Secs) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -461,6 +461,7 @@
         let until = self.entitled_until();
         if now < until {
             let end = now + self.round_time();
+            self.part.lapse(now);
             self.part.heed_notices(&self.mirror, now);
             if self.leading() {
                 self.lead(now, end);
@@ -556,7 +557,7 @@
                 // Let the mirror catch up before another proposal.
                 self.epoch_wanted = Some(now);
             }
-            Tag::Finish(job) => self.finish_written(&job, outcome),
+            Tag::Finish(job) => self.finish_written(&job, outcome, now),
             Tag::Roster(id) => self.renting.written(&id, now),
             Tag::Catalog => self.renting.catalog_written(),
         }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -88,7 +88,7 @@
         if !fits {
             return Err("a task fits no allowed machine type".into());
         }
-        let n = if spec.shape == Shape::Service { f64::from(spec.tasks) } else { 1.0 };
+        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(spec.tasks) };
         if n * spec.cpus > team.cpu_cap() || n * spec.gpus > team.gpu_cap() {
             return Err("the job needs more than the team's limit".into());
         }
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -34,10 +34,12 @@
     /// Seen done by a part, not yet committed.
     finishing: Bits,
     committing: bool,
+    commit_after: Secs,
     not_before: Secs,
     errors: BTreeMap<MachineId, u32>,
     passed_at: Option<Secs>,
-    room: Option<Vec<(Arc<str>, u32)>>,
+    /// What each part was told that zones may still take.
+    room: BTreeMap<String, Vec<(Arc<str>, u32)>>,
 }
 
 /// A part as its last report tells it.
@@ -163,10 +165,11 @@
                 dealt: BTreeMap::new(),
                 finishing: Bits::default(),
                 committing: false,
+                commit_after: 0.0,
                 not_before: 0.0,
                 errors: BTreeMap::new(),
                 passed_at: None,
-                room: None,
+                room: BTreeMap::new(),
             };
             self.jobs.insert(id.clone(), entry);
         }
@@ -317,10 +320,10 @@
     }
 
     /// Tasks seen done and not committed, job by job; each job once at a time.
-    pub fn finishes(&mut self) -> Vec<Finish> {
+    pub fn finishes(&mut self, now: Secs) -> Vec<Finish> {
         let mut out = Vec::new();
         for (id, e) in &mut self.jobs {
-            if !e.committing && !e.finishing.is_empty() {
+            if !e.committing && !e.finishing.is_empty() && now >= e.commit_after {
                 e.committing = true;
                 out.push(Finish { job: id.clone(), tasks: e.finishing.iter().collect() });
             }
@@ -328,10 +331,12 @@
         out
     }
 
-    /// A commit of finished tasks has been answered.
-    pub fn finish_answered(&mut self, job: &JobId) {
+    /// A commit of finished tasks has been answered; another may follow from
+    /// `after` on.
+    pub fn finish_answered(&mut self, job: &JobId, after: Secs) {
         if let Some(e) = self.jobs.get_mut(job) {
             e.committing = false;
+            e.commit_after = after;
         }
     }
 
@@ -433,7 +438,9 @@
                 continue;
             }
             let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
-            let dealt = if spec.one_zone || spec.scatter {
+            let dealt = if spec.shape == Shape::Gang {
+                self.deal_gang(&id, &spec, &free, &avoid, &mut rooms)
+            } else if spec.one_zone || spec.scatter {
                 self.deal_bound(&id, &spec, &free, &avoid, &mut rooms, mirror)
             } else if spec.whole() {
                 deal_whole(&spec, &free, &avoid, &mut rooms)
@@ -531,11 +538,53 @@
         }
         let tasks = free[..chosen.len()].to_vec();
         if let Some(e) = self.jobs.get_mut(id) {
-            e.room = Some(room);
+            e.room = [(part.clone(), room)].into_iter().collect();
         }
         vec![(part, tasks)]
     }
 
+    /// Gangs are the leader's own: dealt only when every task is free and all
+    /// fit at once, over as many parts as that takes.
+    fn deal_gang(
+        &mut self,
+        id: &JobId,
+        spec: &JobSpec,
+        free: &[u32],
+        avoid: &[MachineId],
+        rooms: &mut Rooms,
+    ) -> Vec<(String, Vec<u32>)> {
+        let Some(e) = self.jobs.get_mut(id) else { return Vec::new() };
+        if !e.unknown.is_empty() || !e.dealt.is_empty() {
+            return Vec::new();
+        }
+        let all: BTreeMap<MachineId, (Res, MachineView)> =
+            rooms.values().flat_map(|r| r.iter().map(|(id, m)| (id.clone(), m.clone()))).collect();
+        let zones: BTreeSet<Arc<str>> = all.values().map(|(_, v)| v.zone.clone()).collect();
+        let caps: Vec<(Arc<str>, u32)> = zones.into_iter().map(|z| (z, spec.zone_cap())).collect();
+        let chosen = try_place(spec, free.len(), avoid, &all, &caps);
+        if chosen.len() < free.len() {
+            return Vec::new();
+        }
+        let mut out: BTreeMap<String, Vec<u32>> = BTreeMap::new();
+        e.room.clear();
+        for (m, &index) in chosen.iter().zip(free) {
+            let Some(part) = rooms.iter().find(|(_, r)| r.contains_key(m)).map(|(p, _)| p.clone()) else {
+                return Vec::new();
+            };
+            let zone = &all[m].1.zone;
+            let told = e.room.entry(part.clone()).or_default();
+            match told.iter_mut().find(|(z, _)| z == zone) {
+                Some((_, n)) => *n += 1,
+                None => told.push((zone.clone(), 1)),
+            }
+            if let Some(r) = rooms.get_mut(&part) {
+                take(r, m, spec);
+            }
+            out.entry(part).or_default().push(index);
+        }
+        out.into_iter().collect()
+    }
+
     /// The orders for a part: everything it hasn't listed yet, again and again.
     pub fn orders(&mut self, node: &str) -> Option<Orders> {
         let view = self.parts.get_mut(node)?;
@@ -554,7 +603,7 @@
                 deals.push(Deal {
                     job: id.clone(),
                     tasks,
-                    zone_room: e.room.clone().filter(|_| e.spec.one_zone || e.spec.scatter),
+                    zone_room: e.room.get(node).cloned().filter(|_| e.spec.one_zone || e.spec.scatter),
                     avoid: e.errors.keys().cloned().collect(),
                 });
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 //! seen ended, its machine is off the roster, its worker began a new session,
 //! or a report under a token above that of the last start doesn't list it.
 
-use crate::clock::Secs;
+use crate::clock::{self, Secs};
 use crate::jobs::{Mirror, RosterRecord};
 use crate::membership::{token, token_epoch};
 use crate::place::{self, Candidate};
@@ -175,6 +175,10 @@
     seq: u64,
     counter: u64,
     heard: Option<Secs>,
+    /// When it was last sent an answer that renews its lease.
+    answered: Option<Secs>,
+    /// Sessions up to this one have ended, by the length of their lease.
+    over: u64,
     lines: BTreeMap<Task, (u64, TaskState, Option<String>)>,
     notice_until: Option<Secs>,
     draining: bool,
@@ -355,9 +359,10 @@
             m.listed = true;
             m.up |= record.up;
         }
-        if (r.session, r.seq) <= (m.session, m.seq) {
+        if (r.session, r.seq) <= (m.session, m.seq) || r.session <= m.over {
             return ReportReply::Refuse;
         }
+        m.answered = Some(now);
         if r.token > token(epoch, m.counter) {
             m.counter = (r.token & 0xff_ffff) + 1;
         }
@@ -370,7 +375,7 @@
     fn take_in(&mut self, r: &Report, mirror: &Mirror, now: Secs) {
         let id = r.machine.clone();
         let Some(m) = self.machines.get_mut(&id) else { return };
-        if (r.session, r.seq) <= (m.session, m.seq) {
+        if (r.session, r.seq) <= (m.session, m.seq) || r.session <= m.over {
             return;
         }
         let new_session = r.session > m.session;
@@ -1000,6 +1005,29 @@
         room.fits(&ask).then_some((victims, lost))
     }
 
+    /// A worker that has had no answer for the whole of its lease has killed
+    /// its tasks: only this owner answers it, so what it held is nowhere, even
+    /// if the machine itself can't be seen. Its session is over for good.
+    pub fn lapse(&mut self, now: Secs) {
+        let limit = clock::surely(self.timing.lease_s);
+        let silent: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.certain && m.session > m.over)
+            .filter(|(_, m)| m.answered.is_some_and(|a| now - a > limit) && !m.in_flight)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            if let Some(m) = self.machines.get_mut(&id) {
+                tracing::info!(%id, session = m.session, "a worker's lease is past");
+                m.over = m.session;
+                m.lines.clear();
+                let below = m.session + 1;
+                self.lose(&id, below);
+            }
+        }
+    }
+
     /// Stops what has to move off machines that will be taken.
     pub fn heed_notices(&mut self, mirror: &Mirror, now: Secs) {
         let mut moving = Vec::new();
@@ -1136,6 +1164,8 @@
             seq: 0,
             counter: 0,
             heard: None,
+            answered: None,
+            over: 0,
             lines: BTreeMap::new(),
             notice_until: None,
             draining: false,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -49,6 +49,9 @@
     /// Replicas that run until the job is cancelled.
     #[serde(rename = "standing")]
     Service,
+    /// Tasks that run only all together.
+    #[serde(rename = "ensemble")]
+    Gang,
 }
 
 /// Priority, the highest first.
@@ -139,7 +142,7 @@
 
     /// True for jobs whose tasks depend on where the others are.
     pub fn whole(&self) -> bool {
-        self.one_zone || self.scatter || self.shape == Shape::Service
+        self.one_zone || self.scatter || self.shape != Shape::Array
     }
 
     /// The most tasks of this job that a zone may hold.
