--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -121,7 +121,7 @@
         let relays = http::relays(4, report_s * 0.8);
         let timing = Timing { report_s, lease_s: settings.params.workers.lease_s };
         Controller {
-            part: Part::new(&settings.node_name, timing),
+            part: Part::new(&settings.node_name, timing, settings.quick_classes()),
             leader: Leader::new(&settings),
             mirror: Mirror::new(settings.params.state.value_kb),
             peers: Peers::start(&settings),
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -66,6 +66,7 @@
     joined: BTreeSet<String>,
     attempts: u64,
     teams: HashMap<Arc<str>, Team>,
+    quick: HashSet<Arc<str>>,
     lease_s: Secs,
     report_s: Secs,
     /// Machines that take no more tasks.
@@ -96,6 +97,7 @@
             joined: BTreeSet::new(),
             attempts: 0,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
+            quick: settings.quick_classes(),
             lease_s: settings.params.workers.lease_s,
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
@@ -369,7 +371,8 @@
         for e in self.jobs.values() {
             for d in e.dealt.values().filter(|d| d.machine.is_none()) {
                 if let Some(room) = rooms.get_mut(&d.part) {
-                    if let Some(id) = best_in(room, &e.spec, &[], None) {
+                    let wish = Wish { spec: &e.spec, avoid: &[], quick: self.quick.contains(&e.spec.class) };
+                    if let Some(id) = best_in(room, &wish, None) {
                         take(room, &id, &e.spec);
                     }
                 }
@@ -438,14 +441,15 @@
                 continue;
             }
             let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
+            let wish = Wish { spec: &spec, avoid: &avoid, quick: self.quick.contains(&spec.class) };
             let dealt = if spec.shape == Shape::Gang {
-                self.deal_gang(&id, &spec, &free, &avoid, &mut rooms)
+                self.deal_gang(&id, &wish, &free, &mut rooms)
             } else if spec.one_zone || spec.scatter {
-                self.deal_bound(&id, &spec, &free, &avoid, &mut rooms, mirror)
+                self.deal_bound(&id, &wish, &free, &mut rooms, mirror)
             } else if spec.whole() {
-                deal_whole(&spec, &free, &avoid, &mut rooms)
+                deal_whole(&wish, &free, &mut rooms)
             } else {
-                deal_array(&spec, &free, &avoid, &mut rooms)
+                deal_array(&wish, &free, &mut rooms)
             };
             let placed: usize = dealt.iter().map(|d| d.1.len()).sum();
             if placed < free.len() {
@@ -488,12 +492,12 @@
     fn deal_bound(
         &mut self,
         id: &JobId,
-        spec: &JobSpec,
+        wish: &Wish,
         free: &[u32],
-        avoid: &[MachineId],
         rooms: &mut Rooms,
         mirror: &Mirror,
     ) -> Vec<(String, Vec<u32>)> {
+        let spec = wish.spec;
         let Some(e) = self.jobs.get(id) else { return Vec::new() };
         if !e.unknown.is_empty() {
             return Vec::new();
@@ -520,9 +524,9 @@
         // the most.
         let mut best: Option<(u32, f64, String, Vec<MachineId>)> = None;
         for (part, machines) in rooms.iter() {
-            let chosen = try_place(spec, free.len(), avoid, machines, &room);
+            let chosen = try_place(wish, free.len(), machines, &room);
             let total: f64 = machines.values().map(|(r, _)| r.cpus).sum();
-            let key = (chosen.len() as u32, total);
+            let key = (chosen.len() as u32, warm(wish, machines, &chosen) as f64 * 1e6 + total);
             if !chosen.is_empty() && best.as_ref().is_none_or(|b| key > (b.0, b.1)) {
                 best = Some((key.0, key.1, part.clone(), chosen));
             }
@@ -548,11 +552,11 @@
     fn deal_gang(
         &mut self,
         id: &JobId,
-        spec: &JobSpec,
+        wish: &Wish,
         free: &[u32],
-        avoid: &[MachineId],
         rooms: &mut Rooms,
     ) -> Vec<(String, Vec<u32>)> {
+        let spec = wish.spec;
         let Some(e) = self.jobs.get_mut(id) else { return Vec::new() };
         if !e.unknown.is_empty() || !e.dealt.is_empty() {
             return Vec::new();
@@ -561,7 +565,7 @@
             rooms.values().flat_map(|r| r.iter().map(|(id, m)| (id.clone(), m.clone()))).collect();
         let zones: BTreeSet<Arc<str>> = all.values().map(|(_, v)| v.zone.clone()).collect();
         let caps: Vec<(Arc<str>, u32)> = zones.into_iter().map(|z| (z, spec.zone_cap())).collect();
-        let chosen = try_place(spec, free.len(), avoid, &all, &caps);
+        let chosen = try_place(wish, free.len(), &all, &caps);
         if chosen.len() < free.len() {
             return Vec::new();
         }
@@ -680,28 +684,45 @@
     }
 }
 
+/// A job's wishes as far as they matter to where it goes.
+struct Wish<'a> {
+    spec: &'a JobSpec,
+    avoid: &'a [MachineId],
+    /// Its class has an aim for its start.
+    quick: bool,
+}
+
+/// How many of the chosen machines have the image of a job that is in a hurry.
+fn warm(wish: &Wish, machines: &BTreeMap<MachineId, (Res, MachineView)>, chosen: &[MachineId]) -> usize {
+    let cached = |m: &&MachineId| machines[*m].1.images.contains(&wish.spec.image);
+    if wish.quick {
+        chosen.iter().filter(cached).count()
+    } else {
+        0
+    }
+}
+
 /// The machine that the paper's cost would choose.
 fn best_in<V: View>(
     machines: &BTreeMap<MachineId, (Res, V)>,
-    spec: &JobSpec,
-    avoid: &[MachineId],
+    wish: &Wish,
     room: Option<&BTreeMap<Arc<str>, u32>>,
 ) -> Option<MachineId> {
     let candidates = machines.iter().filter_map(|(id, (free, v))| {
         let v = v.view();
         let zone_ok = room.is_none_or(|r| r.get(&v.zone).copied().unwrap_or(0) > 0);
-        (zone_ok && !avoid.contains(id)).then_some(place::Candidate {
+        (zone_ok && !wish.avoid.contains(id)).then_some(place::Candidate {
             id,
             kind: &v.kind,
             zone: &v.zone,
             spot: v.spot,
             free: *free,
-            cached: false,
+            cached: v.images.contains(&wish.spec.image),
             zone_peers: 0,
             machine_peers: 0,
         })
     });
-    place::pick(spec, candidates).map(|c| c.id.into())
+    place::pick(wish.spec, wish.quick, candidates).map(|c| c.id.into())
 }
 
 fn take<V>(machines: &mut BTreeMap<MachineId, (Res, V)>, id: &MachineId, spec: &JobSpec) {
@@ -712,18 +733,18 @@
 
 /// As many of `n` tasks as fit one after another under the zones' bounds.
 fn try_place(
-    spec: &JobSpec,
+    wish: &Wish,
     n: usize,
-    avoid: &[MachineId],
     machines: &BTreeMap<MachineId, (Res, MachineView)>,
     room: &[(Arc<str>, u32)],
 ) -> Vec<MachineId> {
+    let spec = wish.spec;
     let attempt = |mut room: BTreeMap<Arc<str>, u32>| {
         let mut copy: BTreeMap<MachineId, (Res, &MachineView)> =
             machines.iter().map(|(id, (r, v))| (id.clone(), (*r, v))).collect();
         let mut chosen = Vec::new();
         for _ in 0..n {
-            let Some(id) = best_in(&copy, spec, avoid, Some(&room)) else { break };
+            let Some(id) = best_in(&copy, wish, Some(&room)) else { break };
             take(&mut copy, &id, spec);
             if let Some(left) = room.get_mut(&machines[&id].1.zone) {
                 *left -= 1;
@@ -742,12 +763,7 @@
     }
 }
 
-fn deal_whole(
-    spec: &JobSpec,
-    free: &[u32],
-    avoid: &[MachineId],
-    rooms: &mut Rooms,
-) -> Vec<(String, Vec<u32>)> {
+fn deal_whole(wish: &Wish, free: &[u32], rooms: &mut Rooms) -> Vec<(String, Vec<u32>)> {
     let all: Vec<(Arc<str>, u32)> = rooms
         .values()
         .flat_map(|r| r.values().map(|(_, v)| (v.zone.clone(), u32::MAX)))
@@ -756,8 +772,9 @@
         .collect();
     let mut best: Option<(usize, f64, String, Vec<MachineId>)> = None;
     for (part, machines) in rooms.iter() {
-        let chosen = try_place(spec, free.len(), avoid, machines, &all);
-        let total: f64 = machines.values().map(|(r, _)| r.cpus).sum();
+        let chosen = try_place(wish, free.len(), machines, &all);
+        let total: f64 =
+            warm(wish, machines, &chosen) as f64 * 1e6 + machines.values().map(|(r, _)| r.cpus).sum::<f64>();
         if !chosen.is_empty() && best.as_ref().is_none_or(|b| (chosen.len(), total) > (b.0, b.1)) {
             best = Some((chosen.len(), total, part.clone(), chosen));
         }
@@ -765,19 +782,14 @@
     let Some((n, _, part, chosen)) = best else { return Vec::new() };
     if let Some(machines) = rooms.get_mut(&part) {
         for m in &chosen {
-            take(machines, m, spec);
+            take(machines, m, wish.spec);
         }
     }
     vec![(part, free[..n].to_vec())]
 }
 
 /// An array's tasks go one by one to the part with the most room left.
-fn deal_array(
-    spec: &JobSpec,
-    free: &[u32],
-    avoid: &[MachineId],
-    rooms: &mut Rooms,
-) -> Vec<(String, Vec<u32>)> {
+fn deal_array(wish: &Wish, free: &[u32], rooms: &mut Rooms) -> Vec<(String, Vec<u32>)> {
     let mut out: BTreeMap<String, Vec<u32>> = BTreeMap::new();
     let mut full: HashSet<String> = HashSet::new();
     let mut left = free.iter();
@@ -790,9 +802,9 @@
             .max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         let Some((_, part)) = roomiest else { break };
         let Some(machines) = rooms.get_mut(&part) else { break };
-        match best_in(machines, spec, avoid, None) {
+        match best_in(machines, wish, None) {
             Some(id) => {
-                take(machines, &id, spec);
+                take(machines, &id, wish.spec);
                 out.entry(part).or_default().push(index);
                 next = left.next();
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -83,6 +83,8 @@
     pub faulty: bool,
     pub draining: bool,
     pub tasks: u32,
+    /// Images that are likely cached there.
+    pub images: Vec<Arc<str>>,
 }
 
 /// All that a part tells the leader.
@@ -202,6 +204,8 @@
 pub struct Part {
     node: String,
     timing: Timing,
+    /// Classes with an aim for their start.
+    quick: HashSet<Arc<str>>,
     epoch: u64,
     inc: u64,
     machines: BTreeMap<MachineId, Machine>,
@@ -238,10 +242,11 @@
 
 impl Part {
     /// An empty part, a member of no epoch.
-    pub fn new(node: &str, timing: Timing) -> Part {
+    pub fn new(node: &str, timing: Timing, quick: HashSet<Arc<str>>) -> Part {
         Part {
             node: node.into(),
             timing,
+            quick,
             epoch: 0,
             inc: 0,
             machines: BTreeMap::new(),
@@ -266,7 +271,7 @@
     pub fn enter(&mut self, epoch: u64, inc: u64, mirror: &Mirror, now: Secs, owns: impl Fn(&str) -> bool) {
         let stays = inc == self.inc && epoch == self.epoch + 1;
         if !stays {
-            let fresh = Part::new(&self.node, self.timing);
+            let fresh = Part::new(&self.node, self.timing, std::mem::take(&mut self.quick));
             *self = fresh;
         }
         self.epoch = epoch;
@@ -885,7 +890,7 @@
                 machine_peers: machines.get(&**id).copied().unwrap_or(0),
             })
         });
-        place::pick(spec, candidates).map(|c| c.id.into())
+        place::pick(spec, self.quick.contains(&spec.class), candidates).map(|c| c.id.into())
     }
 
     fn put_on(&mut self, task: &Task, spec: &JobSpec, id: &MachineId, mirror: &Mirror, now: Secs) {
@@ -1081,6 +1086,7 @@
                     faulty: m.faulty(),
                     draining: m.draining,
                     tasks,
+                    images: m.images.iter().map(|i| i.0.clone()).collect(),
                 }
             })
             .collect();
--- a/src/place.rs
+++ b/src/place.rs
@@ -41,9 +41,17 @@
 /// Drops the machines that lack anything asked for or aren't allowed, and
 /// picks the one with the lowest cost. Ties go to the zone, then the machine
 /// with fewer tasks of the job, then to a cached image, then by name.
-pub fn pick<'a>(spec: &JobSpec, machines: impl Iterator<Item = Candidate<'a>>) -> Option<Candidate<'a>> {
+///
+/// `quick` is the one exception to the paper's order: a task whose class has
+/// an aim for its start goes to a machine that has its image, if any does,
+/// since fetching alone can take longer than the aim allows.
+pub fn pick<'a>(
+    spec: &JobSpec,
+    quick: bool,
+    machines: impl Iterator<Item = Candidate<'a>>,
+) -> Option<Candidate<'a>> {
     let ask = spec.ask();
-    machines
-        .filter(|m| allowed(spec, m.kind, m.zone, m.spot) && m.free.fits(&ask))
-        .min_by_key(|m| (steps(cost(&m.free, &ask)), m.zone_peers, m.machine_peers, !m.cached, m.id))
+    machines.filter(|m| allowed(spec, m.kind, m.zone, m.spot) && m.free.fits(&ask)).min_by_key(|m| {
+        (quick && !m.cached, steps(cost(&m.free, &ask)), m.zone_peers, m.machine_peers, !m.cached, m.id)
+    })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,8 +2,10 @@
 //! ignored; a missing or senseless one is named in a single line.
 
 use serde::Deserialize;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Why the settings can't be used.
@@ -221,6 +223,12 @@
         self.params.workers.lease_s * 0.4
     }
 
+    /// The classes that have an aim for how soon their tasks start.
+    pub fn quick_classes(&self) -> HashSet<Arc<str>> {
+        let aims = self.params.objectives.iter().filter(|o| o.kind == "wait");
+        aims.map(|o| o.class.as_str().into()).collect()
+    }
+
     /// A team by name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.params.teams.iter().find(|t| t.name == name)
