--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -307,7 +307,7 @@
                 drained.push(m.id.clone());
             }
             if !m.spot && m.open {
-                free_ordinary += m.free.cpus.max(0.0);
+                free_ordinary += (m.free.cpus + m.yielding.cpus).max(0.0);
             }
             in_use.push(InUse {
                 id: m.id.clone(),
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -371,7 +371,12 @@
         for e in self.jobs.values() {
             for d in e.dealt.values().filter(|d| d.machine.is_none()) {
                 if let Some(room) = rooms.get_mut(&d.part) {
-                    let wish = Wish { spec: &e.spec, avoid: &[], quick: self.quick.contains(&e.spec.class) };
+                    let wish = Wish {
+                        spec: &e.spec,
+                        avoid: &[],
+                        quick: self.quick.contains(&e.spec.class),
+                        preempts: false,
+                    };
                     if let Some(id) = best_in(room, &wish, None) {
                         take(room, &id, &e.spec);
                     }
@@ -441,7 +446,12 @@
                 continue;
             }
             let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
-            let wish = Wish { spec: &spec, avoid: &avoid, quick: self.quick.contains(&spec.class) };
+            let wish = Wish {
+                spec: &spec,
+                avoid: &avoid,
+                quick: self.quick.contains(&spec.class),
+                preempts: spec.rank == Rank::Prod,
+            };
             let dealt = if spec.shape == Shape::Gang {
                 self.deal_gang(&id, &wish, &free, &mut rooms)
             } else if spec.one_zone || spec.scatter {
@@ -690,6 +700,8 @@
     avoid: &'a [MachineId],
     /// Its class has an aim for its start.
     quick: bool,
+    /// Lower work makes room for it.
+    preempts: bool,
 }
 
 /// How many of the chosen machines have the image of a job that is in a hurry.
@@ -716,7 +728,7 @@
             kind: &v.kind,
             zone: &v.zone,
             spot: v.spot,
-            free: *free,
+            free: room_for(wish, free, v),
             cached: v.images.contains(&wish.spec.image),
             zone_peers: 0,
             machine_peers: 0,
@@ -725,6 +737,15 @@
     place::pick(wish.spec, wish.quick, candidates).map(|c| c.id.into())
 }
 
+/// The room that a job sees on a machine.
+fn room_for(wish: &Wish, free: &Res, v: &MachineView) -> Res {
+    let mut room = *free;
+    if wish.preempts {
+        room.give(&v.yielding);
+    }
+    room
+}
+
 fn take<V>(machines: &mut BTreeMap<MachineId, (Res, V)>, id: &MachineId, spec: &JobSpec) {
     if let Some((free, _)) = machines.get_mut(id) {
         free.take(&spec.ask());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -77,6 +77,8 @@
     pub silent_s: f64,
     pub idle_s: f64,
     pub free: Res,
+    /// What lower work than the highest rank's would give up for that.
+    pub yielding: Res,
     /// Takes new tasks.
     pub open: bool,
     pub noticed: bool,
@@ -526,6 +528,7 @@
             },
         };
         if p.phase != phase {
+            tracing::debug!(%task, ?phase, after = now - h.since, "now");
             p.phase = phase;
             p.since = now;
             self.dirty = true;
@@ -835,14 +838,26 @@
                 return;
             }
             let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.clone()) else { continue };
-            match self.choose(&task, &spec, &free, &kept) {
+            let chosen = self.choose(&task, &spec, &free, &kept);
+            let quick = self.quick.contains(&spec.class);
+            let cold = |id: &MachineId| !self.machines.get(id).is_some_and(|m| m.has_image(&spec.image));
+            // Making room where the image is takes less time than fetching it.
+            let warmer = quick && chosen.as_ref().is_none_or(cold);
+            if warmer && self.make_room(&task, &spec, &free, &mut kept, true, mirror, now) {
+                continue;
+            }
+            match chosen {
                 Some(id) => {
                     if let Some(f) = free.get_mut(&id) {
                         f.take(&spec.ask());
                     }
                     self.put_on(&task, &spec, &id, mirror, now);
                 }
-                None => self.no_room(&task, &spec, &free, &mut kept, mirror, now),
+                None => {
+                    if !self.make_room(&task, &spec, &free, &mut kept, false, mirror, now) {
+                        self.leave(&task, Leave::Passed);
+                    }
+                }
             }
         }
     }
@@ -885,7 +900,7 @@
                 zone: &m.zone,
                 spot: m.spot,
                 free: *f,
-                cached: m.images.iter().any(|i| i.0 == spec.image),
+                cached: m.has_image(&spec.image),
                 zone_peers: zones.get(&*m.zone).copied().unwrap_or(0),
                 machine_peers: machines.get(&**id).copied().unwrap_or(0),
             })
@@ -897,6 +912,8 @@
         let cache =
             mirror.catalog.as_ref().and_then(|c| c.get(&self.machines.get(id)?.kind).map(|t| t.cache_gb));
         let Some(m) = self.machines.get_mut(id) else { return };
+        let cached = m.has_image(&spec.image);
+        tracing::debug!(%task, %id, cached, "placed");
         m.images.retain(|i| i.0 != spec.image);
         m.images.push_front((spec.image.clone(), spec.image_gb));
         while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > cache.unwrap_or(0.0) {
@@ -929,47 +946,49 @@
         }
     }
 
-    /// No machine can take the task as things are: make room by stopping
-    /// lower work, or pass it back to the leader.
-    fn no_room(
+    /// Makes room by stopping lower work, on machines that have the image if
+    /// `warm`. False if there is nothing to stop, or it has taken too long.
+    #[allow(clippy::too_many_arguments)]
+    fn make_room(
         &mut self,
         task: &Task,
         spec: &JobSpec,
         free: &BTreeMap<MachineId, Res>,
         kept: &mut Kept,
+        warm: bool,
         mirror: &Mirror,
         now: Secs,
-    ) {
-        let Some(held) = self.held.get(task) else { return };
-        if now - held.since < self.timing.report_s + spec.save_s {
-            let bounds = self.bounds.get(&task.job);
-            let mut best: Option<(f64, MachineId, Vec<Attempt>)> = None;
-            for (id, f) in free {
-                let Some(m) = self.machines.get(id) else { continue };
-                let zone_full = bounds.is_some_and(|b| b.room.get(&m.zone).copied().unwrap_or(0) == 0);
-                if held.avoid.contains(id)
-                    || zone_full
-                    || m.lines.contains_key(task)
-                    || !place::allowed(spec, &m.kind, &m.zone, m.spot)
-                {
-                    continue;
-                }
-                let promised = kept.0.get(id).copied().unwrap_or_default();
-                if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror) {
-                    if best.as_ref().is_none_or(|b| lost < b.0) {
-                        best = Some((lost, id.clone(), victims));
-                    }
-                }
+    ) -> bool {
+        let Some(held) = self.held.get(task) else { return false };
+        if now - held.since >= self.timing.report_s + spec.save_s {
+            return false;
+        }
+        let bounds = self.bounds.get(&task.job);
+        let mut best: Option<(f64, MachineId, Vec<Attempt>)> = None;
+        for (id, f) in free {
+            let Some(m) = self.machines.get(id) else { continue };
+            let zone_full = bounds.is_some_and(|b| b.room.get(&m.zone).copied().unwrap_or(0) == 0);
+            if held.avoid.contains(id)
+                || zone_full
+                || warm && !m.has_image(&spec.image)
+                || m.lines.contains_key(task)
+                || !place::allowed(spec, &m.kind, &m.zone, m.spot)
+            {
+                continue;
             }
-            if let Some((_, id, victims)) = best {
-                for (t, attempt) in victims {
-                    self.recall(&t, attempt, Stop::Preempted);
+            let promised = kept.0.get(id).copied().unwrap_or_default();
+            if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror) {
+                if best.as_ref().is_none_or(|b| lost < b.0) {
+                    best = Some((lost, id.clone(), victims));
                 }
-                kept.0.entry(id).or_default().give(&spec.ask());
-                return;
             }
         }
-        self.leave(task, Leave::Passed);
+        let Some((_, id, victims)) = best else { return false };
+        for (t, attempt) in victims {
+            self.recall(&t, attempt, Stop::Preempted);
+        }
+        kept.0.entry(id).or_default().give(&spec.ask());
+        true
     }
 
     /// Lower tasks on a machine whose end makes room, the youngest first.
@@ -993,7 +1012,7 @@
             let Some(s) = mirror.jobs.get(&t.job).and_then(|j| j.record.spec.as_ref()) else { continue };
             if p.stop.is_some() {
                 room.give(&s.ask());
-            } else if s.rank > spec.rank && s.shape == Shape::Array {
+            } else if yields(s, spec.rank) {
                 able.push((s.rank, p.since, t, h.attempt, s.ask()));
             }
         }
@@ -1062,8 +1081,14 @@
         self.seq += 1;
         self.dirty = false;
         let mut counts: HashMap<&MachineId, u32> = HashMap::new();
-        for p in self.held.values().filter_map(|h| h.at.as_ref()) {
+        let mut yielding: HashMap<&MachineId, Res> = HashMap::new();
+        for (task, h) in &self.held {
+            let Some(p) = &h.at else { continue };
             *counts.entry(&p.machine).or_default() += 1;
+            let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
+            if let Some(s) = spec.filter(|s| yields(s, Rank::Prod) && p.phase != Phase::Done) {
+                yielding.entry(&p.machine).or_default().give(&s.ask());
+            }
         }
         let machines = self
             .machines
@@ -1081,6 +1106,7 @@
                     silent_s: m.heard.map_or(0.0, |h| now - h),
                     idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
                     free: self.machine_free(id, m, mirror),
+                    yielding: yielding.get(id).copied().unwrap_or_default(),
                     open: self.open(m, now),
                     noticed: m.notice_until.is_some(),
                     faulty: m.faulty(),
@@ -1132,6 +1158,11 @@
 #[derive(Debug, Default)]
 struct Kept(BTreeMap<MachineId, Res>);
 
+/// Whether a job's tasks may be stopped for one of `rank`.
+fn yields(spec: &JobSpec, rank: Rank) -> bool {
+    spec.rank > rank && spec.shape == Shape::Array
+}
+
 /// Whether a task needs no more runs, by what is committed.
 fn finished(mirror: &Mirror, task: &Task) -> bool {
     mirror
@@ -1184,6 +1215,10 @@
         }
     }
 
+    fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|i| &*i.0 == image)
+    }
+
     /// A machine on which tasks of two jobs failed is taken out of use.
     fn faulty(&self) -> bool {
         self.errors.len() >= 2
