A model of the hostile world finds two holes: lapsed leases, cancelled tasks

Cause 1: the leader freed tasks by the age of the epoch alone, though an owner might have answered the worker a moment before. Now only the owner, who knows what it answered, declares a worker's lease past. Cause 2: after a takeover, running tasks of a cancelled job were stopped but not counted, so a team could pass its limit by one task.

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -60,7 +60,7 @@
 
 impl Controller {
     pub(super) fn lead(&mut self, now: Secs, end: Secs) {
-        self.leader.resolve(&self.mirror, now);
+        self.leader.resolve(&self.mirror);
         let touched = self.leader.deal(&self.mirror, now, || clock::now() < end);
         for part in touched {
             self.send_orders(&part);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -440,7 +440,7 @@
             });
         }
         if epoch.leader == self.settings.node_name {
-            self.leader.enter(&epoch, self.inc, &self.mirror, now);
+            self.leader.enter(&epoch, self.inc, &self.mirror);
             self.renting.lead(now);
         }
         self.told_leader = 0.0;
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -57,7 +57,6 @@
 pub struct Leader {
     epoch: u64,
     inc: u64,
-    since: Secs,
     members: BTreeMap<String, u64>,
     jobs: BTreeMap<JobId, Entry>,
     pub parts: BTreeMap<String, PartView>,
@@ -67,7 +66,6 @@
     attempts: u64,
     teams: HashMap<Arc<str>, Team>,
     quick: HashSet<Arc<str>>,
-    lease_s: Secs,
     report_s: Secs,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
@@ -89,7 +87,6 @@
         Leader {
             epoch: 0,
             inc: 0,
-            since: 0.0,
             members: BTreeMap::new(),
             jobs: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -98,7 +95,6 @@
             attempts: 0,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
             quick: settings.quick_classes(),
-            lease_s: settings.params.workers.lease_s,
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
             wants: Vec::new(),
@@ -108,7 +104,7 @@
 
     /// Enters an epoch as its leader. The table is kept if this incarnation
     /// led the one just before; what was dealt is unknown until it is seen.
-    pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror, now: Secs) {
+    pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror) {
         let stays = self.inc == inc && self.epoch + 1 == e.n;
         if !stays {
             self.jobs.clear();
@@ -116,7 +112,6 @@
         }
         self.epoch = e.n;
         self.inc = inc;
-        self.since = now;
         self.members = e.members.clone();
         self.parts.clear();
         self.joined.clear();
@@ -297,16 +292,12 @@
     }
 
     /// Frees unknown tasks once they are proven to be nowhere: every part has
-    /// told its holdings, and every machine that may run tasks has reported
-    /// under its owner's token or must have lost its worker's lease. (Owners
-    /// that left the epoch were fenced before it began; those that stayed have
-    /// answered in it.)
-    pub fn resolve(&mut self, mirror: &Mirror, now: Secs) {
-        if self.resolved || !self.all_joined() {
-            return;
-        }
-        let lapsed = now - self.since > clock::surely(self.lease_s);
-        if !lapsed && self.uncertain(mirror).next().is_some() {
+    /// told its holdings, and the owner of every machine that may run tasks is
+    /// certain of what is on it. Only the owner can say that a worker's lease
+    /// must be past, since it knows whether it has answered it: by the age of
+    /// the epoch alone, a worker answered a moment ago would count as empty.
+    pub fn resolve(&mut self, mirror: &Mirror) {
+        if self.resolved || !self.all_joined() || self.uncertain(mirror).next().is_some() {
             return;
         }
         self.resolved = true;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -209,6 +209,7 @@
     /// Classes with an aim for their start.
     quick: HashSet<Arc<str>>,
     epoch: u64,
+    entered: Secs,
     inc: u64,
     machines: BTreeMap<MachineId, Machine>,
     held: BTreeMap<Task, Held>,
@@ -250,6 +251,7 @@
             timing,
             quick,
             epoch: 0,
+            entered: 0.0,
             inc: 0,
             machines: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -277,6 +279,7 @@
             *self = fresh;
         }
         self.epoch = epoch;
+        self.entered = now;
         self.inc = inc;
         self.orders_seq = 0;
         self.machines.retain(|id, _| owns(id));
@@ -393,7 +396,6 @@
             m.idle_since = now;
             self.dirty = true;
         }
-        m.heard = Some(now);
         if let Some(s) = r.notice_s {
             if m.notice_until.is_none() {
                 self.dirty = true;
@@ -405,6 +407,12 @@
             .iter()
             .filter_map(|l: &TaskLine| Some((Task::parse(&l.task)?, (l.attempt, l.state, l.why.clone()))))
             .collect();
+        if m.heard.is_none() && r.token < token(self.epoch, m.counter) {
+            // Thought to be past its lease, and here it is: whatever it says
+            // may be old until it has seen our token.
+            m.certain = m.certain && !m.up;
+        }
+        m.heard = Some(now);
         if !m.certain {
             if r.token >= token(self.epoch, m.counter) {
                 m.certain = true;
@@ -456,9 +464,11 @@
                 }
                 Some(_) => {}
                 None => {
-                    let finished = finished(mirror, task);
-                    let ended_otherwise = *state == TaskState::Ended && why.as_deref() != Some("done");
-                    if !finished && !ended_otherwise {
+                    // One that runs is held even if its job is cancelled: until it
+                    // has stopped it takes its team's room.
+                    let runs = *state != TaskState::Ended;
+                    let done = !runs && why.as_deref() == Some("done");
+                    if runs || done && !finished(mirror, task) {
                         self.held.insert(
                             task.clone(),
                             Held {
@@ -470,6 +480,9 @@
                         );
                         self.progress(task, *state, why.as_deref(), now);
                         self.dirty = true;
+                        if finished(mirror, task) {
+                            self.recall(task, *attempt, Stop::Cancelled);
+                        }
                     }
                 }
             }
@@ -1030,24 +1043,28 @@
     }
 
     /// A worker that has had no answer for the whole of its lease has killed
-    /// its tasks: only this owner answers it, so what it held is nowhere, even
-    /// if the machine itself can't be seen. Its session is over for good.
+    /// its tasks: only this owner answers it (an earlier one was fenced before
+    /// this epoch), so what it held is nowhere, even if the machine itself
+    /// can't be seen. A session it was answered in is over for good.
     pub fn lapse(&mut self, now: Secs) {
         let limit = clock::surely(self.timing.lease_s);
+        let entered = self.entered;
         let silent: Vec<MachineId> = self
             .machines
             .iter()
-            .filter(|(_, m)| m.certain && m.session > m.over)
-            .filter(|(_, m)| m.answered.is_some_and(|a| now - a > limit) && !m.in_flight)
+            .filter(|(_, m)| !m.in_flight && now - m.answered.unwrap_or(entered) > limit)
+            .filter(|(_, m)| !m.certain || m.session > m.over)
             .map(|(id, _)| id.clone())
             .collect();
         for id in silent {
             if let Some(m) = self.machines.get_mut(&id) {
                 tracing::info!(%id, session = m.session, "a worker's lease is past");
+                m.certain = true;
                 m.over = m.session;
                 m.lines.clear();
                 let below = m.session + 1;
                 self.lose(&id, below);
+                self.dirty = true;
             }
         }
     }
--- /dev/null
+++ b/tests/interleavings.rs
@@ -0,0 +1,688 @@
+//! The rule that matters most, against a world that does its worst: no task
+//! starts on one machine while it is on another, whatever is lost, late,
+//! repeated or crashes, and whoever believes to lead.
+//!
+//! The cores under test are the real ones; workers, network and the state
+//! service's order of events are plain models. Seeds are fixed.
+
+use finchwood::deal::Leader;
+use finchwood::fleet::{Orders, Part, PartReport, ReportReply, Timing};
+use finchwood::jobs::{Epoch, JobRecord, Mirror, RosterRecord};
+use finchwood::membership;
+use finchwood::settings::Settings;
+use finchwood::state::Event;
+use finchwood::wire::{
+    Call, Catalog, Commands, JobSpec, MachineType, Rank, Report, Shape, Task, TaskLine, TaskState,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+const LEASE: f64 = 20.0;
+const NODES: [&str; 3] = ["a", "b", "c"];
+const TEAM_CPUS: f64 = 14.0;
+
+fn settings() -> Settings {
+    Settings::parse(
+        r#"
+node_name = "a"
+zone = "z0"
+client_listen = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+initial_size = 3
+zones = ["z0", "z1"]
+time_bound_ms = 10.0
+[[params.teams]]
+name = "t"
+cpus_max = 14.0
+[params.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 40.0
+[params.state]
+rps = 60.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 4.0
+list_lag_s = 6.0
+[params.machine_limits]
+core_share = 0.2
+ram_mb = 128.0
+max_connections = 100
+"#,
+    )
+    .expect("settings")
+}
+
+fn spec(n: u32, tasks: u32, shape: Shape, scatter: bool, rank: Rank) -> Arc<JobSpec> {
+    Arc::new(JobSpec {
+        id: format!("wk-{n}").into(),
+        class: "c".into(),
+        team: "t".into(),
+        shape,
+        rank,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        mem_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        scatter,
+        spot: true,
+        estimate_s: 5.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
+
+/// A worker as the protocol describes it.
+#[derive(Default)]
+struct Worker {
+    id: String,
+    zone: String,
+    alive: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: f64,
+    tasks: BTreeMap<String, (u64, TaskState, Option<String>)>,
+    awaiting: Option<u64>,
+    report_due: f64,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.as_str().into(),
+            addr: self.id.clone(),
+            kind: "k".into(),
+            zone: self.zone.as_str().into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(t, (attempt, state, why))| TaskLine {
+                    task: t.clone(),
+                    attempt: *attempt,
+                    state: *state,
+                    why: why.clone(),
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn obey(&mut self, calls: &[Call], started: &mut Vec<Task>) {
+        for c in calls {
+            match c {
+                Call::Start { task, attempt } => match self.tasks.get(task) {
+                    Some((a, _, _)) if a == attempt => {}
+                    Some((_, state, _)) if *state != TaskState::Ended => {
+                        // Refused as busy: the report keeps showing the other attempt.
+                    }
+                    _ => {
+                        self.tasks.insert(task.clone(), (*attempt, TaskState::Running, None));
+                        started.extend(Task::parse(task));
+                    }
+                },
+                Call::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(task).filter(|t| t.0 == *attempt) {
+                        if t.1 != TaskState::Ended {
+                            *t = (*attempt, TaskState::Ended, Some("stopped".into()));
+                        }
+                    }
+                }
+                Call::Forget { task, attempt } => {
+                    if self.tasks.get(task).is_some_and(|t| t.0 == *attempt && t.1 == TaskState::Ended) {
+                        self.tasks.remove(task);
+                    }
+                }
+            }
+        }
+    }
+}
+
+struct Node {
+    inc: u64,
+    alive: bool,
+    mirror: Mirror,
+    seen: usize,
+    part: Part,
+    leader: Leader,
+}
+
+#[derive(Clone)]
+enum Packet {
+    Report { to: usize, report: Report, sent: f64 },
+    Answer { machine: usize, session: u64, seq: u64, sent: f64, token: u64, calls: Vec<Call> },
+    Direct { from: usize, inc: u64, machine: usize, body: Commands },
+    DirectDone { to: usize, inc: u64, body: Commands, report: Option<Report>, machine: usize },
+    Part { to: usize, report: Box<PartReport> },
+    Orders { to: usize, orders: Box<Orders> },
+}
+
+struct World {
+    rng: StdRng,
+    now: f64,
+    log: Vec<Event>,
+    version: u64,
+    epoch: Epoch,
+    incs: u64,
+    nodes: Vec<Node>,
+    workers: Vec<Worker>,
+    net: Vec<(f64, Packet)>,
+    specs: HashMap<Arc<str>, Arc<JobSpec>>,
+    starts: u32,
+    finished: HashMap<Arc<str>, HashSet<u32>>,
+    committed: u32,
+    cancelled: HashSet<Arc<str>>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut w = World {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0.0,
+            log: Vec::new(),
+            version: 0,
+            epoch: Epoch { n: 0, members: BTreeMap::new(), leader: String::new() },
+            incs: 0,
+            nodes: Vec::new(),
+            workers: Vec::new(),
+            net: Vec::new(),
+            specs: HashMap::new(),
+            starts: 0,
+            finished: HashMap::new(),
+            committed: 0,
+            cancelled: HashSet::new(),
+        };
+        let kind = MachineType {
+            name: "k".into(),
+            cpus: 4.0,
+            gpus: 0.0,
+            mem_gb: 64.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 5.0,
+            zones: vec!["z0".into(), "z1".into()],
+        };
+        w.put("fw/c", serde_json::to_value(Catalog { types: vec![kind] }).expect("json"));
+        for i in 0..5 {
+            let zone = format!("z{}", i % 2);
+            w.workers.push(Worker {
+                id: format!("m-{i}"),
+                zone: zone.clone(),
+                alive: true,
+                session: 1,
+                ..Worker::default()
+            });
+            let r = RosterRecord {
+                kind: "k".into(),
+                zone: zone.as_str().into(),
+                spot: false,
+                up: true,
+                at_ms: 0,
+            };
+            w.put(&format!("fw/r/m-{i}"), serde_json::to_value(r).expect("json"));
+        }
+        for _ in NODES {
+            let i = w.nodes.len();
+            w.nodes.push(fresh_node(i));
+        }
+        for i in 0..NODES.len() {
+            w.join(i);
+        }
+        w
+    }
+
+    fn put(&mut self, key: &str, value: serde_json::Value) {
+        self.version += 1;
+        self.log.push(Event::Put { key: key.into(), value, version: self.version });
+    }
+
+    /// A node starts: its old incarnation is gone, so a new epoch may follow.
+    fn join(&mut self, i: usize) {
+        self.incs += 1;
+        self.nodes[i] = fresh_node(i);
+        self.nodes[i].alive = true;
+        self.nodes[i].inc = self.incs;
+        let mut members = self.epoch.members.clone();
+        members.insert(NODES[i].into(), self.incs);
+        self.next_epoch(members);
+    }
+
+    /// A node dies, or has fenced itself and lost its lease.
+    fn leave(&mut self, i: usize) {
+        self.nodes[i] = fresh_node(i);
+        let mut members = self.epoch.members.clone();
+        members.remove(NODES[i]);
+        if !members.is_empty() {
+            self.next_epoch(members);
+        }
+    }
+
+    fn next_epoch(&mut self, members: BTreeMap<String, u64>) {
+        let live =
+            members.iter().map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member { inc }, 1))).collect();
+        let present = (self.epoch.n > 0).then(|| self.epoch.clone());
+        if let Some(e) = membership::next_epoch(present.as_ref(), &live) {
+            self.epoch = e.clone();
+            self.put("fw/epoch", serde_json::to_value(e).expect("json"));
+        }
+    }
+
+    fn send(&mut self, p: Packet) {
+        let r: f64 = self.rng.gen();
+        if r < 0.08 {
+            return;
+        }
+        let delay = match r {
+            r if r < 0.75 => self.rng.gen_range(0.01..0.3),
+            r if r < 0.93 => self.rng.gen_range(0.3..4.0),
+            _ => self.rng.gen_range(4.0..60.0),
+        };
+        // A late copy of a message that has arrived before.
+        let copies = !matches!(p, Packet::Answer { .. } | Packet::DirectDone { .. });
+        if copies && self.rng.gen_bool(0.05) {
+            let again = self.now + self.rng.gen_range(1.0..60.0);
+            self.net.push((again, p.clone()));
+        }
+        self.net.push((self.now + delay, p));
+    }
+
+    /// The check: at every moment a task is on one machine at most, a team
+    /// keeps its limit, a scattered job its zones.
+    fn check(&self, machine: usize, started: &[Task]) {
+        for t in started {
+            let on: Vec<&str> = self
+                .workers
+                .iter()
+                .filter(|w| w.alive && w.tasks.get(&t.to_string()).is_some_and(|x| x.1 != TaskState::Ended))
+                .map(|w| w.id.as_str())
+                .collect();
+            assert_eq!(on.len(), 1, "{t} is on {on:?} at {}", self.now);
+            let spec = &self.specs[&t.job];
+            if spec.scatter {
+                let zone = &self.workers[machine].zone;
+                let n: usize = self
+                    .workers
+                    .iter()
+                    .filter(|w| w.alive && w.zone == *zone)
+                    .map(|w| {
+                        w.tasks
+                            .iter()
+                            .filter(|(k, v)| k.starts_with(&format!("{}/", t.job)) && v.1 != TaskState::Ended)
+                            .count()
+                    })
+                    .sum();
+                assert!(n as u32 <= spec.zone_cap(), "{} has {n} tasks in {zone} at {}", t.job, self.now);
+            }
+        }
+        let used: usize = self
+            .workers
+            .iter()
+            .filter(|w| w.alive)
+            .map(|w| w.tasks.values().filter(|v| v.1 != TaskState::Ended).count())
+            .sum();
+        assert!(used as f64 <= TEAM_CPUS, "the team uses {used} CPUs at {}", self.now);
+    }
+
+    fn deliver(&mut self, p: Packet) {
+        let now = self.now;
+        match p {
+            Packet::Report { to, report, sent } => {
+                let node = &mut self.nodes[to];
+                if !node.alive || node.part.epoch() == 0 {
+                    return;
+                }
+                let Some(machine) = self.workers.iter().position(|w| w.id == *report.machine) else { return };
+                let epoch = node.mirror.epoch.clone().expect("an epoch");
+                let owner = membership::owner(&epoch.members, &report.machine).expect("an owner").to_string();
+                if owner != NODES[to] {
+                    return;
+                }
+                let (session, seq) = (report.session, report.seq);
+                if let ReportReply::Commands { token, commands } =
+                    node.part.report(&report, &node.mirror, now)
+                {
+                    self.send(Packet::Answer { machine, session, seq, sent, token, calls: commands });
+                }
+            }
+            Packet::Answer { machine, session, seq, sent, token, calls } => {
+                let w = &mut self.workers[machine];
+                // Answers come within four seconds or not at all.
+                if !w.alive
+                    || w.awaiting != Some(seq)
+                    || session != w.session
+                    || now - sent > 4.0
+                    || token < w.token
+                {
+                    return;
+                }
+                w.awaiting = None;
+                w.token = token;
+                w.lease_from = sent;
+                let mut started = Vec::new();
+                w.obey(&calls, &mut started);
+                self.starts += started.len() as u32;
+                self.check(machine, &started);
+            }
+            Packet::Direct { from, inc, machine, body } => {
+                let w = &mut self.workers[machine];
+                if !w.alive {
+                    return;
+                }
+                let mut started = Vec::new();
+                if body.token >= w.token && body.session == w.session {
+                    w.token = body.token;
+                    w.obey(&body.commands, &mut started);
+                }
+                let report = Some(w.report());
+                self.starts += started.len() as u32;
+                self.check(machine, &started);
+                self.send(Packet::DirectDone { to: from, inc, body, report, machine });
+            }
+            Packet::DirectDone { to, inc, body, report, machine } => {
+                let id: Arc<str> = self.workers[machine].id.as_str().into();
+                let node = &mut self.nodes[to];
+                if node.alive && node.inc == inc {
+                    node.part.direct_done(&id, &body, report.as_ref(), &node.mirror, now);
+                }
+            }
+            Packet::Part { to, report } => {
+                let node = &mut self.nodes[to];
+                let leads = node
+                    .mirror
+                    .epoch
+                    .as_ref()
+                    .is_some_and(|e| e.leader == NODES[to] && node.part.epoch() == e.n);
+                if node.alive && leads {
+                    let from = report.node.clone();
+                    if node.leader.part_report(*report, &node.mirror, now) {
+                        if let Some(orders) = node.leader.orders(&from) {
+                            let to = NODES.iter().position(|n| *n == from).expect("a node");
+                            self.send(Packet::Orders { to, orders: Box::new(orders) });
+                        }
+                    }
+                }
+            }
+            Packet::Orders { to, orders } => {
+                let node = &mut self.nodes[to];
+                if node.alive {
+                    node.part.orders(&orders, &node.mirror, now);
+                }
+            }
+        }
+    }
+
+    fn catch_up(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        while node.seen < self.log.len() {
+            let event = self.log[node.seen].clone();
+            node.seen += 1;
+            match node.mirror.apply(event) {
+                finchwood::jobs::Change::Epoch => {
+                    let e = node.mirror.epoch.clone().expect("an epoch");
+                    if e.members.get(NODES[i]) == Some(&node.inc) {
+                        node.part.enter(e.n, node.inc, &node.mirror, now, |m| {
+                            membership::owner(&e.members, m) == Some(NODES[i])
+                        });
+                        if e.leader == NODES[i] {
+                            node.leader.enter(&e, node.inc, &node.mirror);
+                        }
+                    }
+                }
+                finchwood::jobs::Change::Job(id) => {
+                    node.part.job_changed(&id, &node.mirror);
+                    if node.mirror.epoch.as_ref().is_some_and(|e| e.leader == NODES[i]) {
+                        node.leader.job_changed(&id, &node.mirror);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn node_round(&mut self, i: usize) {
+        let now = self.now;
+        // The mirror lags, but a node whose mirror is old fences itself.
+        if self.nodes[i].alive && self.rng.gen_bool(0.8) {
+            self.catch_up(i);
+        }
+        let node = &mut self.nodes[i];
+        let Some(e) = node.mirror.epoch.clone() else { return };
+        if !node.alive || e.members.get(NODES[i]) != Some(&node.inc) || node.part.epoch() != e.n {
+            return;
+        }
+        node.part.lapse(now);
+        node.part.place(&node.mirror, now, || true);
+        node.part.tidy(&node.mirror);
+        let directs = node.part.directs(&node.mirror, now);
+        let snapshot = node.part.snapshot(&node.mirror, now);
+        let mut orders = Vec::new();
+        let mut finishes = Vec::new();
+        if e.leader == NODES[i] {
+            node.leader.resolve(&node.mirror);
+            node.leader.deal(&node.mirror, now, || true);
+            finishes = node.leader.finishes(now);
+            for f in &finishes {
+                node.leader.finish_answered(&f.job, now + 1.0);
+            }
+            orders = NODES.iter().filter_map(|n| node.leader.orders(n)).collect();
+        }
+        let inc = node.inc;
+        for d in directs {
+            let machine = self.workers.iter().position(|w| w.id == *d.machine).expect("a machine");
+            if self.rng.gen_bool(0.1) {
+                // No answer will come: the caller gives up, the command may live.
+                let (body, id) = (d.body.clone(), d.machine.clone());
+                let node = &mut self.nodes[i];
+                node.part.direct_done(&id, &body, None, &node.mirror, now);
+            }
+            self.send(Packet::Direct { from: i, inc, machine, body: d.body });
+        }
+        let to = NODES.iter().position(|n| *n == e.leader).expect("a leader");
+        self.send(Packet::Part { to, report: Box::new(snapshot) });
+        for o in orders {
+            let to = NODES.iter().position(|n| *n == o.node).expect("a node");
+            self.send(Packet::Orders { to, orders: Box::new(o) });
+        }
+        for f in finishes {
+            self.commit(&f.job, &f.tasks);
+        }
+    }
+
+    fn commit(&mut self, job: &Arc<str>, tasks: &[u32]) {
+        if self.cancelled.contains(job) {
+            return;
+        }
+        let done = self.finished.entry(job.clone()).or_default();
+        for &t in tasks {
+            if done.insert(t) {
+                self.committed += 1;
+            }
+        }
+        let mut bits = finchwood::jobs::Bits::default();
+        for &t in done.iter() {
+            bits.add(t);
+        }
+        let n = self.specs[job].tasks;
+        if bits.len() == n {
+            let r = JobRecord { spec: None, epoch: 0, at_ms: 0, tasks: n, cancelled: false, done: true };
+            self.put(&format!("fw/j/{job}"), serde_json::to_value(r).expect("json"));
+        } else {
+            self.put(&format!("fw/f/{job}/0"), bits.hex(0, n).into());
+        }
+    }
+
+    fn accept(&mut self, n: u32) {
+        let shape = if n % 3 == 0 { Shape::Service } else { Shape::Array };
+        let rank = if n % 3 == 0 { Rank::Prod } else { Rank::Low };
+        let tasks = self.rng.gen_range(1..5);
+        let s = spec(n, tasks, shape, n % 3 == 0, rank);
+        self.specs.insert(s.id.clone(), s.clone());
+        // The accepting node may be an epoch behind.
+        let behind = u64::from(self.rng.gen_bool(0.2)).min(self.epoch.n - 1);
+        let r = JobRecord {
+            spec: Some(s.clone()),
+            epoch: self.epoch.n - behind,
+            at_ms: u64::from(n),
+            tasks,
+            cancelled: false,
+            done: false,
+        };
+        self.put(&format!("fw/j/{}", s.id), serde_json::to_value(r).expect("json"));
+    }
+
+    fn cancel(&mut self, n: u32) {
+        let id: Arc<str> = format!("wk-{n}").into();
+        let Some(s) = self.specs.get(&id).cloned() else { return };
+        let over = self.finished.get(&id).is_some_and(|f| f.len() as u32 == s.tasks);
+        if over || !self.cancelled.insert(id.clone()) {
+            return;
+        }
+        let r = JobRecord {
+            spec: Some(s.clone()),
+            epoch: 0,
+            at_ms: 0,
+            tasks: s.tasks,
+            cancelled: true,
+            done: false,
+        };
+        self.put(&format!("fw/j/{id}"), serde_json::to_value(r).expect("json"));
+    }
+
+    fn worker_round(&mut self, i: usize) {
+        let now = self.now;
+        let w = &mut self.workers[i];
+        if !w.alive {
+            return;
+        }
+        if now - w.lease_from > LEASE {
+            w.tasks.clear();
+            w.session += 1;
+            w.seq = 0;
+            w.lease_from = now;
+            w.awaiting = None;
+        }
+        let finish = self.rng.gen_bool(0.05);
+        let arrays: Vec<String> = w
+            .tasks
+            .iter()
+            .filter(|(t, v)| {
+                v.1 == TaskState::Running
+                    && Task::parse(t).is_some_and(|t| self.specs[&t.job].shape == Shape::Array)
+            })
+            .map(|(t, _)| t.clone())
+            .collect();
+        if let (true, Some(t)) = (finish, arrays.first()) {
+            if let Some(v) = w.tasks.get_mut(t) {
+                v.1 = TaskState::Ended;
+                v.2 = Some("done".into());
+            }
+        }
+        if now >= w.report_due {
+            w.report_due = now + self.rng.gen_range(0.5..3.0);
+            let report = w.report();
+            w.awaiting = Some(report.seq);
+            let to = self.rng.gen_range(0..NODES.len());
+            let owner = membership::owner(&self.epoch.members, &report.machine)
+                .and_then(|o| NODES.iter().position(|n| *n == o));
+            let to = if self.rng.gen_bool(0.8) { owner.unwrap_or(to) } else { to };
+            self.send(Packet::Report { to, report, sent: now });
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let mut next_job = 1;
+        let mut down: Option<(usize, f64)> = None;
+        while self.now < seconds {
+            self.now += 0.1;
+            let now = self.now;
+            let (due, rest): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.net).into_iter().partition(|p| p.0 <= now);
+            self.net = rest;
+            for (_, p) in due {
+                self.deliver(p);
+            }
+            for i in 0..self.workers.len() {
+                self.worker_round(i);
+            }
+            for i in 0..NODES.len() {
+                if self.rng.gen_bool(0.5) {
+                    self.node_round(i);
+                }
+            }
+            if next_job < 60 && self.rng.gen_bool(0.06) {
+                self.accept(next_job);
+                next_job += 1;
+            }
+            if self.rng.gen_bool(0.02) {
+                let n = self.rng.gen_range(0..next_job);
+                self.cancel(n);
+            }
+            match down {
+                Some((i, until)) if now >= until => {
+                    self.join(i);
+                    down = None;
+                }
+                None if self.rng.gen_bool(0.01) => {
+                    let i = self.rng.gen_range(0..NODES.len());
+                    if self.rng.gen_bool(0.4) {
+                        // Back within a moment: the epoch never saw it go.
+                        self.join(i);
+                    } else {
+                        self.leave(i);
+                        down = Some((i, now + self.rng.gen_range(0.5..15.0)));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn fresh_node(i: usize) -> Node {
+    let timing = Timing { report_s: 3.0, lease_s: LEASE };
+    Node {
+        inc: 0,
+        alive: false,
+        mirror: Mirror::new(8.0),
+        seen: 0,
+        part: Part::new(NODES[i], timing, HashSet::new()),
+        leader: Leader::new(&settings()),
+    }
+}
+
+#[test]
+fn no_interleaving_starts_a_task_twice() {
+    let (mut starts, mut committed) = (0, 0);
+    for seed in 0..60 {
+        let mut w = World::new(seed);
+        w.run(240.0);
+        starts += w.starts;
+        committed += w.committed;
+    }
+    // The world is hostile, but work gets through it.
+    assert!(starts > 1000, "only {starts} starts");
+    assert!(committed > 500, "only {committed} tasks committed");
+}
--- /dev/null
+++ b/tests/placement_model.rs
@@ -0,0 +1,126 @@
+//! The placement against a slow plain reading of the paper's algorithm.
+
+use finchwood::place::{pick, Candidate};
+use finchwood::wire::{JobSpec, Rank, Res, Shape};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const KINDS: [&str; 2] = ["small", "large"];
+const ZONES: [&str; 3] = ["east", "north", "west"];
+
+#[derive(Debug, Clone)]
+struct Node {
+    id: String,
+    kind: usize,
+    zone: usize,
+    spot: bool,
+    free: [u32; 3],
+    cached: bool,
+    zone_peers: u32,
+    machine_peers: u32,
+}
+
+fn spec(ask: [u32; 3], spot: bool, kind: Option<usize>, zone: Option<usize>) -> JobSpec {
+    JobSpec {
+        id: "wk-1".into(),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks: 1,
+        cpus: f64::from(ask[0]) / 2.0,
+        gpus: f64::from(ask[1]),
+        mem_gb: f64::from(ask[2]),
+        image: "i".into(),
+        image_gb: 1.0,
+        types: kind.map(|k| vec![KINDS[k].into()]),
+        zone: zone.map(|z| ZONES[z].into()),
+        one_zone: false,
+        scatter: false,
+        spot,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// Filter, cost, sort, first: as the paper writes it, with our ties, on
+/// integers only.
+fn model(
+    ask: [u32; 3],
+    spot: bool,
+    kind: Option<usize>,
+    zone: Option<usize>,
+    quick: bool,
+    nodes: &[Node],
+) -> Option<String> {
+    let mut list = Vec::new();
+    for n in nodes {
+        let mut lacking = n.spot && !spot;
+        lacking |= kind.is_some_and(|k| k != n.kind) || zone.is_some_and(|z| z != n.zone);
+        for r in 0..3 {
+            lacking |= n.free[r] < ask[r];
+        }
+        if lacking {
+            continue;
+        }
+        // Half CPUs count two, GPUs two as well, so that both compare whole.
+        let leftover = if ask[1] > 0 { 2 * (n.free[1] - ask[1]) } else { n.free[0] - ask[0] };
+        let cold = u32::from(!n.cached);
+        let first = if quick { cold } else { 0 };
+        list.push((first, leftover, n.zone_peers, n.machine_peers, cold, n.id.clone()));
+    }
+    list.sort();
+    list.first().map(|x| x.5.clone())
+}
+
+#[test]
+fn picks_what_the_plain_model_picks() {
+    let config = Config { cases: 3000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let node =
+        (0..2usize, 0..3usize, any::<bool>(), [0..20u32, 0..4u32, 0..24u32], any::<bool>(), 0..3u32, 0..2u32);
+    let amounts = (0..10u32, prop_oneof![3 => Just(0u32), 1 => 1..3u32], 0..12u32);
+    let ask = (amounts.prop_map(|(c, g, m)| [c, g, m]), any::<bool>());
+    let wish = (proptest::option::of(0..2usize), proptest::option::of(0..3usize), any::<bool>());
+    let case = (ask, wish, proptest::collection::vec(node, 0..14));
+    let mut placed = 0;
+    let result = runner.run(&case, |((ask, spot), (kind, zone, quick), raw)| {
+        let nodes: Vec<Node> = raw
+            .into_iter()
+            .enumerate()
+            .map(|(i, (kind, zone, spot, free, cached, zone_peers, machine_peers))| Node {
+                id: format!("m-{i:03}"),
+                kind,
+                zone,
+                spot,
+                free,
+                cached,
+                zone_peers,
+                machine_peers,
+            })
+            .collect();
+        let spec = spec(ask, spot, kind, zone);
+        let candidates = nodes.iter().map(|n| Candidate {
+            id: &n.id,
+            kind: KINDS[n.kind],
+            zone: ZONES[n.zone],
+            spot: n.spot,
+            free: Res {
+                cpus: f64::from(n.free[0]) / 2.0,
+                gpus: f64::from(n.free[1]),
+                mem: f64::from(n.free[2]),
+            },
+            cached: n.cached,
+            zone_peers: n.zone_peers,
+            machine_peers: n.machine_peers,
+        });
+        let real = pick(&spec, quick, candidates).map(|c| c.id.to_string());
+        prop_assert_eq!(real, model(ask, spot, kind, zone, quick, &nodes));
+        Ok(())
+    });
+    placed += i32::from(result.is_ok());
+    assert_eq!(placed, 1, "{result:?}");
+}
