--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -535,10 +535,11 @@
     }
 
     fn accept(&mut self, n: u32) {
-        let shape = if n % 3 == 0 { Shape::Service } else { Shape::Array };
-        let rank = if n % 3 == 0 { Rank::Prod } else { Rank::Low };
+        let service = n.is_multiple_of(3);
+        let shape = if service { Shape::Service } else { Shape::Array };
+        let rank = if service { Rank::Prod } else { Rank::Low };
         let tasks = self.rng.gen_range(1..5);
-        let s = spec(n, tasks, shape, n % 3 == 0, rank);
+        let s = spec(n, tasks, shape, service, rank);
         self.specs.insert(s.id.clone(), s.clone());
         // The accepting node may be an epoch behind.
         let behind = u64::from(self.rng.gen_bool(0.2)).min(self.epoch.n - 1);
--- a/tests/placement_model.rs
+++ b/tests/placement_model.rs
@@ -59,9 +59,7 @@
     for n in nodes {
         let mut lacking = n.spot && !spot;
         lacking |= kind.is_some_and(|k| k != n.kind) || zone.is_some_and(|z| z != n.zone);
-        for r in 0..3 {
-            lacking |= n.free[r] < ask[r];
-        }
+        lacking |= n.free.iter().zip(&ask).any(|(have, want)| have < want);
         if lacking {
             continue;
         }
@@ -86,7 +84,6 @@
     let ask = (amounts.prop_map(|(c, g, m)| [c, g, m]), any::<bool>());
     let wish = (proptest::option::of(0..2usize), proptest::option::of(0..3usize), any::<bool>());
     let case = (ask, wish, proptest::collection::vec(node, 0..14));
-    let mut placed = 0;
     let result = runner.run(&case, |((ask, spot), (kind, zone, quick), raw)| {
         let nodes: Vec<Node> = raw
             .into_iter()
@@ -121,6 +118,5 @@
         prop_assert_eq!(real, model(ask, spot, kind, zone, quick, &nodes));
         Ok(())
     });
-    placed += i32::from(result.is_ok());
-    assert_eq!(placed, 1, "{result:?}");
+    assert!(result.is_ok(), "{result:?}");
 }
