Machines that die around a change of epoch are noticed

Silence now counts from the epoch's start for machines that were in use. Ruled out: placement (room was there).

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -295,7 +295,10 @@
                 .roster
                 .get(&m.id)
                 .map_or(0.0, |(r, _)| day.saturating_sub(r.at_ms) as f64 / 1000.0);
-            if !m.heard || self.renting.deleted.contains_key(&m.id) {
+            // One that was in use before this epoch and hasn't been heard in it
+            // is silent too: it may have died while nobody led.
+            let used = m.heard || self.mirror.roster.get(&m.id).is_some_and(|(r, _)| r.up);
+            if !used || self.renting.deleted.contains_key(&m.id) {
                 continue;
             }
             let limit = if cut.contains(&m.zone) { lease_s * 3.0 } else { report_s * 3.5 };
@@ -369,7 +372,10 @@
     fn cut_zones(&self) -> (HashSet<Arc<str>>, Secs, Secs) {
         let w = &self.settings.params.workers;
         let mut zones: HashMap<Arc<str>, (u32, u32)> = HashMap::new();
-        for m in self.leader.machines().filter(|m| m.heard) {
+        for m in self.leader.machines() {
+            if !m.heard && !self.mirror.roster.get(&m.id).is_some_and(|(r, _)| r.up) {
+                continue;
+            }
             let z = zones.entry(m.zone.clone()).or_default();
             z.0 += 1;
             z.1 += u32::from(m.silent_s > w.report_s * 2.0);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -179,6 +179,8 @@
     seq: u64,
     counter: u64,
     heard: Option<Secs>,
+    /// When this part came to know of it.
+    since: Secs,
     /// When it was last sent an answer that renews its lease.
     answered: Option<Secs>,
     /// Sessions up to this one have ended, by the length of their lease.
@@ -1120,7 +1122,7 @@
                     certain: m.certain,
                     heard: m.heard.is_some(),
                     listed: m.listed,
-                    silent_s: m.heard.map_or(0.0, |h| now - h),
+                    silent_s: now - m.heard.unwrap_or(self.entered.max(m.since)),
                     idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
                     free: self.machine_free(id, m, mirror),
                     yielding: yielding.get(id).copied().unwrap_or_default(),
@@ -1218,6 +1220,7 @@
             seq: 0,
             counter: 0,
             heard: None,
+            since: now,
             answered: None,
             over: 0,
             lines: BTreeMap::new(),
