New owners ask their machines at once; late machines are asked before deletion

Cause: after a change of epoch a part waited 1 to 4 s for each worker to find its new owner, and a dead machine was waited on for 3.5 report intervals. The roster now keeps the worker's address: a new owner asks under its own token, and one that is late and doesn't answer is replaced after two intervals. Ruled out: a shorter limit alone, which would delete machines that merely report late.

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -176,7 +176,9 @@
                 continue;
             }
             match self.mirror.roster.get(&m.id) {
-                Some((r, _)) if !r.up => puts.push((m.id.clone(), RosterRecord { up: true, ..r.clone() })),
+                Some((r, _)) if !r.up => {
+                    puts.push((m.id.clone(), RosterRecord { up: true, addr: m.addr.clone(), ..r.clone() }))
+                }
                 Some(_) => {}
                 None => puts.push((
                     m.id.clone(),
@@ -186,6 +188,7 @@
                         spot: m.spot,
                         up: true,
                         at_ms: clock::day_ms(),
+                        addr: m.addr.clone(),
                     },
                 )),
             }
@@ -301,7 +304,11 @@
             if !used || self.renting.deleted.contains_key(&m.id) {
                 continue;
             }
-            let limit = if cut.contains(&m.zone) { lease_s * 3.0 } else { report_s * 3.5 };
+            let limit = match (cut.contains(&m.zone), m.deaf) {
+                (true, _) => lease_s * 3.0,
+                (false, true) => report_s * 2.0,
+                (false, false) => report_s * 3.5,
+            };
             if m.silent_s > limit {
                 dead.push(m.id.clone());
                 continue;
@@ -419,6 +426,7 @@
                         spot: request.spot,
                         up: false,
                         at_ms: clock::day_ms(),
+                        addr: None,
                     };
                     self.renting.fresh.insert(id, record);
                 }
@@ -509,6 +517,7 @@
                     spot: m.spot,
                     up: false,
                     at_ms: clock::day_ms().saturating_sub((m.age_s.clamp(0.0, 1e9) * 1000.0) as u64),
+                    addr: m.addr.as_deref().map(Into::into),
                 };
                 self.renting.fresh.insert(m.id.clone(), record);
             }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -99,7 +99,9 @@
         let Some((record, replies)) = self.users.submits.remove(&id) else { return };
         match outcome {
             Outcome::Done(version) => {
-                tracing::debug!(%id, tasks = record.tasks, "accepted");
+                if let Some(s) = &record.spec {
+                    tracing::debug!(%id, tasks = s.tasks, estimate = s.estimate_s, due = s.deadline_s, "accepted");
+                }
                 let value = serde_json::to_value(&record).unwrap_or_default();
                 self.mirror.put(&job_key(&id), value, version);
                 self.job_changed(&id);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -75,6 +75,8 @@
     /// On the roster.
     pub listed: bool,
     pub silent_s: f64,
+    pub deaf: bool,
+    pub addr: Option<Arc<str>>,
     pub idle_s: f64,
     pub free: Res,
     /// What lower work than the highest rank's would give up for that.
@@ -171,7 +173,9 @@
     kind: Arc<str>,
     zone: Arc<str>,
     spot: bool,
-    addr: Option<String>,
+    addr: Option<Arc<str>>,
+    /// Did not answer when asked after a silence.
+    deaf: bool,
     listed: bool,
     up: bool,
     certain: bool,
@@ -241,7 +245,7 @@
 #[derive(Debug, Clone)]
 pub struct Direct {
     pub machine: MachineId,
-    pub addr: String,
+    pub addr: Arc<str>,
     pub body: Commands,
 }
 
@@ -307,6 +311,9 @@
         });
         m.listed = true;
         m.up |= record.up;
+        if m.addr.is_none() {
+            m.addr.clone_from(&record.addr);
+        }
         self.dirty = true;
     }
 
@@ -393,7 +400,8 @@
         let new_session = r.session > m.session;
         m.session = r.session;
         m.seq = r.seq;
-        m.addr = Some(r.addr.clone());
+        m.addr = Some(r.addr.as_str().into());
+        m.deaf = false;
         if m.heard.is_none() {
             m.idle_since = now;
             self.dirty = true;
@@ -632,11 +640,23 @@
                 }
             }
         }
-        due.extend(self.machines.iter().filter(|(_, m)| m.probe).map(|(id, _)| id.clone()));
+        // Ask machines that were taken over, and those that are late to report.
+        let late = self.timing.report_s * 1.5;
+        let entered = self.entered;
+        due.extend(
+            self.machines
+                .iter()
+                .filter(|(_, m)| {
+                    m.probe
+                        || m.up && !m.certain && m.session == 0
+                        || m.up && now - m.heard.unwrap_or(entered.max(m.since)) > late
+                })
+                .map(|(id, _)| id.clone()),
+        );
         let mut out = Vec::new();
         for id in due {
             let Some(m) = self.machines.get_mut(&id) else { continue };
-            if m.in_flight || now < m.direct_bad_until || m.session == 0 {
+            if m.in_flight || now < m.direct_bad_until || m.session <= m.over && m.session != 0 {
                 continue;
             }
             let (Some(addr), session) = (m.addr.clone(), m.session) else { continue };
@@ -685,6 +705,7 @@
                 // worker has seen a higher token.
                 m.counter += 1;
                 m.direct_bad_until = now + report_s;
+                m.deaf = now - m.heard.unwrap_or(m.since) > report_s * 1.5;
             }
         }
     }
@@ -1123,6 +1144,8 @@
                     heard: m.heard.is_some(),
                     listed: m.listed,
                     silent_s: now - m.heard.unwrap_or(self.entered.max(m.since)),
+                    deaf: m.deaf,
+                    addr: m.addr.clone(),
                     idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
                     free: self.machine_free(id, m, mirror),
                     yielding: yielding.get(id).copied().unwrap_or_default(),
@@ -1213,6 +1236,7 @@
             zone: "".into(),
             spot: false,
             addr: None,
+            deaf: false,
             listed: false,
             up: false,
             certain: false,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -72,6 +72,10 @@
     /// The time of day, in milliseconds, when it was rented or found.
     #[serde(rename = "t", default)]
     pub at_ms: u64,
+    /// Where its worker takes commands, once that is known: a new owner asks
+    /// it at once what it runs.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub addr: Option<Arc<str>>,
 }
 
 /// A growing set of task numbers.
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -240,6 +240,7 @@
                 spot: false,
                 up: true,
                 at_ms: 0,
+                addr: Some(format!("m-{i}").as_str().into()),
             };
             w.put(&format!("fw/r/m-{i}"), serde_json::to_value(r).expect("json"));
         }
