A cut between an owner and a zone is told from a dead machine

A machine counts as dead only if its owner hears others of the zone since, and no other controller has met its worker; workers with this epoch's token are relayed at once. Ruled out: room (none lacked before the deletions).

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -304,10 +304,13 @@
             if !used || self.renting.deleted.contains_key(&m.id) {
                 continue;
             }
-            let limit = match (cut.contains(&m.zone), m.deaf) {
+            // Deaf alone, while its owner hears others of the zone: dead. Deaf
+            // with the whole zone: cut off, and perhaps met by others.
+            let alone = m.deaf_s.is_some_and(|d| self.leader.zone_heard_since(m, d));
+            let limit = match (cut.contains(&m.zone) || self.leader.met(&m.id, report_s * 4.0), alone) {
                 (true, _) => lease_s * 3.0,
                 (false, true) => report_s * 2.0,
-                (false, false) => report_s * 3.5,
+                (false, false) => report_s * 4.5,
             };
             if m.silent_s > limit {
                 dead.push(m.id.clone());
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -295,7 +295,10 @@
                 // One that was sent to its owner a moment ago and is here
                 // again can't reach it: its report is passed on.
                 let lease_s = self.settings.params.workers.lease_s;
-                let back = self.redirected.get(&report.machine).is_some_and(|&t| now - t < lease_s / 2.0);
+                // So has one that obeyed this epoch's token already: only its
+                // owner can have told it.
+                let back = self.redirected.get(&report.machine).is_some_and(|&t| now - t < lease_s / 2.0)
+                    || membership::token_epoch(report.token) == epoch.n;
                 let to = self.settings.members.iter().find(|m| m.node_name == o).map(|m| m.endpoint);
                 match to {
                     Some(to) if back => {
@@ -499,7 +502,8 @@
         }
         let Some(leader) = self.my_epoch().map(|e| e.leader.clone()) else { return };
         self.told_leader = now;
-        let snapshot = self.part.snapshot(&self.mirror, now);
+        let mut snapshot = self.part.snapshot(&self.mirror, now);
+        snapshot.met = self.redirected.iter().map(|(id, t)| (id.clone(), now - t)).collect();
         if leader == self.settings.node_name {
             if self.leader.part_report(snapshot, &self.mirror, now) {
                 self.send_orders(&leader);
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -48,6 +48,7 @@
     inc: u64,
     seq: u64,
     pub machines: BTreeMap<MachineId, MachineView>,
+    met: HashMap<MachineId, f64>,
     orders_seq: u64,
     heard: Secs,
 }
@@ -194,6 +195,7 @@
             inc: r.inc,
             seq: 0,
             machines: BTreeMap::new(),
+            met: HashMap::new(),
             orders_seq: 0,
             heard: now,
         });
@@ -203,6 +205,7 @@
         view.seq = r.seq;
         view.heard = now;
         self.joined.insert(r.node.clone());
+        view.met = r.met.into_iter().collect();
         view.machines = r.machines.into_iter().map(|m| (m.id.clone(), m)).collect();
         let mut listed: HashSet<(JobId, u32)> = HashSet::new();
         for h in r.held {
@@ -483,6 +486,9 @@
                 }
             }
         }
+        for w in wants.iter().filter(|w| w.spec.rank == Rank::Prod) {
+            tracing::debug!(job = %w.spec.id, count = w.count, "no room");
+        }
         self.wants = wants;
         touched
     }
@@ -638,6 +644,21 @@
         })
     }
 
+    /// Whether a machine is silent for its owner only: some other controller
+    /// has met its worker within `age`.
+    pub fn met(&self, id: &MachineId, age: Secs) -> bool {
+        self.parts.values().any(|p| p.met.get(id).is_some_and(|&a| a < age))
+    }
+
+    /// Whether a machine's owner has heard another machine of the zone since
+    /// this one stopped answering: then it isn't the zone that is cut off.
+    pub fn zone_heard_since(&self, m: &MachineView, age: Secs) -> bool {
+        let owner = crate::membership::owner(&self.members, &m.id);
+        owner.and_then(|o| self.parts.get(o)).is_some_and(|p| {
+            p.machines.values().any(|o| o.id != m.id && o.zone == m.zone && o.heard && o.silent_s < age)
+        })
+    }
+
     /// A part's age of news.
     pub fn part_silence(&self, node: &str, now: Secs) -> Option<Secs> {
         self.parts.get(node).map(|p| now - p.heard)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -75,7 +75,8 @@
     /// On the roster.
     pub listed: bool,
     pub silent_s: f64,
-    pub deaf: bool,
+    /// Since when it has not answered when asked.
+    pub deaf_s: Option<f64>,
     pub addr: Option<Arc<str>>,
     pub idle_s: f64,
     pub free: Res,
@@ -101,6 +102,8 @@
     pub machines: Vec<MachineView>,
     pub held: Vec<HeldView>,
     pub gone: Vec<Gone>,
+    /// Machines of other parts that came here, and how long ago.
+    pub met: Vec<(MachineId, f64)>,
 }
 
 /// Tasks of one job dealt to a part.
@@ -174,8 +177,8 @@
     zone: Arc<str>,
     spot: bool,
     addr: Option<Arc<str>>,
-    /// Did not answer when asked after a silence.
-    deaf: bool,
+    /// Since when it has not answered, asked after a silence.
+    deaf: Option<Secs>,
     listed: bool,
     up: bool,
     certain: bool,
@@ -348,6 +351,7 @@
                 (Some(p), Leave::Lost) if p.stop.is_some() => Leave::Stopped,
                 _ => how,
             };
+            tracing::debug!(%task, ?how, machine = ?h.at.as_ref().map(|p| &p.machine), "left");
             self.gone.push(Gone {
                 task: task.clone(),
                 attempt: h.attempt,
@@ -401,7 +405,7 @@
         m.session = r.session;
         m.seq = r.seq;
         m.addr = Some(r.addr.as_str().into());
-        m.deaf = false;
+        m.deaf = None;
         if m.heard.is_none() {
             m.idle_since = now;
             self.dirty = true;
@@ -705,7 +709,9 @@
                 // worker has seen a higher token.
                 m.counter += 1;
                 m.direct_bad_until = now + report_s;
-                m.deaf = now - m.heard.unwrap_or(m.since) > report_s * 1.5;
+                if now - m.heard.unwrap_or(m.since) > report_s * 1.5 {
+                    m.deaf = m.deaf.or(Some(now));
+                }
             }
         }
     }
@@ -1144,7 +1150,7 @@
                     heard: m.heard.is_some(),
                     listed: m.listed,
                     silent_s: now - m.heard.unwrap_or(self.entered.max(m.since)),
-                    deaf: m.deaf,
+                    deaf_s: m.deaf.map(|d| now - d),
                     addr: m.addr.clone(),
                     idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
                     free: self.machine_free(id, m, mirror),
@@ -1176,6 +1182,7 @@
             machines,
             held,
             gone: self.gone.clone(),
+            met: Vec::new(),
         }
     }
 
@@ -1236,7 +1243,7 @@
             zone: "".into(),
             spot: false,
             addr: None,
-            deaf: false,
+            deaf: None,
             listed: false,
             up: false,
             certain: false,
--- a/src/place.rs
+++ b/src/place.rs
@@ -42,9 +42,12 @@
 /// picks the one with the lowest cost. Ties go to the zone, then the machine
 /// with fewer tasks of the job, then to a cached image, then by name.
 ///
-/// `quick` is the one exception to the paper's order: a task whose class has
-/// an aim for its start goes to a machine that has its image, if any does,
-/// since fetching alone can take longer than the aim allows.
+/// Two exceptions come before the paper's order. Work that may run on spot
+/// machines fills those first: the tightest fit would put it into the last
+/// room of ordinary machines, from where services soon drive it out again.
+/// And a `quick` task, whose class has an aim for its start, goes to a machine
+/// that has its image, if any does, since fetching alone can take longer than
+/// the aim allows.
 pub fn pick<'a>(
     spec: &JobSpec,
     quick: bool,
@@ -52,6 +55,14 @@
 ) -> Option<Candidate<'a>> {
     let ask = spec.ask();
     machines.filter(|m| allowed(spec, m.kind, m.zone, m.spot) && m.free.fits(&ask)).min_by_key(|m| {
-        (quick && !m.cached, steps(cost(&m.free, &ask)), m.zone_peers, m.machine_peers, !m.cached, m.id)
+        (
+            quick && !m.cached,
+            spec.spot && !m.spot,
+            steps(cost(&m.free, &ask)),
+            m.zone_peers,
+            m.machine_peers,
+            !m.cached,
+            m.id,
+        )
     })
 }
