Leave controllers that nobody reaches out of the epoch

Cause: a controller cut from all but the state service kept its lease, its machines and the lead for the length of the cut. Two others that agree on not hearing it now go on without it; its late commands die by the token, and the time after which an unheard worker's lease is past allows for its ignorance. The interleaving model has the case. Machines taken over that don't answer the first question are suspected at once.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -10,7 +10,7 @@
 use crate::deal::Leader;
 use crate::fleet::{Direct, Part, ReportReply, Timing};
 use crate::http::{self, Ask, DirectDone, Outgoing, Relay, Reply};
-use crate::jobs::{Change, Epoch, Mirror, EPOCH_KEY};
+use crate::jobs::{Change, Epoch, Member, Mirror, EPOCH_KEY};
 use crate::membership::{self, LeaseNews};
 use crate::peer::{Envelope, Message, Peers};
 use crate::policy::Policy;
@@ -19,7 +19,7 @@
 use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use leading::Renting;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use users::Users;
 
@@ -64,6 +64,9 @@
     running: HashMap<JobId, u32>,
     /// Which of the others said that they reach the state service, and when.
     healthy: HashMap<String, Secs>,
+    /// Whom each of the others hears, and when it said so.
+    hears: HashMap<String, (Secs, Vec<String>)>,
+    began: Secs,
     epoch_wanted: Option<Secs>,
     epoch_pending: bool,
     told_leader: Secs,
@@ -119,7 +122,11 @@
         let report_s = settings.params.workers.report_s;
         let directs = http::directs(6, report_s / 2.0, move |d| to.send(Msg::Direct(d)).is_ok());
         let relays = http::relays(4, report_s * 0.8);
-        let timing = Timing { report_s, lease_s: settings.params.workers.lease_s };
+        let timing = Timing {
+            report_s,
+            lease_s: settings.params.workers.lease_s,
+            member_life_s: settings.member_life_s(),
+        };
         Controller {
             part: Part::new(&settings.node_name, timing, settings.quick_classes()),
             leader: Leader::new(&settings),
@@ -134,6 +141,8 @@
             redirected: HashMap::new(),
             running: HashMap::new(),
             healthy: HashMap::new(),
+            hears: HashMap::new(),
+            began: clock::now(),
             epoch_wanted: None,
             epoch_pending: false,
             told_leader: 0.0,
@@ -317,10 +326,9 @@
     }
 
     fn peer(&mut self, e: Envelope, now: Secs) {
+        self.hears.insert(e.from.clone(), (now, e.hears.clone()));
         if e.fresh {
             self.healthy.insert(e.from.clone(), now);
-        } else {
-            self.healthy.remove(&e.from);
         }
         if e.to != self.settings.node_name {
             // Passed on for one that can't reach the other directly.
@@ -362,6 +370,7 @@
             from: self.settings.node_name.clone(),
             to: to.into(),
             fresh: !self.state_down && self.fresh_at.is_some(),
+            hears: self.healthy.keys().cloned().collect(),
             message,
         });
     }
@@ -485,6 +494,7 @@
             self.redirected.retain(|_, t| now - *t < lease_s);
         }
         let report_s = self.settings.params.workers.report_s;
+        self.healthy.retain(|_, t| now - *t < report_s * 2.0);
         if now - self.said_hello > report_s / 3.0 {
             self.said_hello = now;
             let names: Vec<String> = self.peers.names().cloned().collect();
@@ -513,6 +523,36 @@
         }
     }
 
+    /// The members with a lease, without those that nobody reaches: a
+    /// controller whose network is gone but for the state service would keep
+    /// its machines, and perhaps the lead, from everybody. It is left out when
+    /// this node and another that hears this one agree. `None` if this node
+    /// hears nobody itself: then it has no say.
+    fn reachable_members(&self, now: Secs) -> Option<BTreeMap<String, (Member, u64)>> {
+        let patience = self.settings.params.workers.report_s * 2.0;
+        let me = &self.settings.node_name;
+        let hears = |n: &String| self.healthy.get(n).is_some_and(|&t| now - t < patience);
+        let others: Vec<&String> = self.mirror.members.keys().filter(|n| *n != me).collect();
+        if others.is_empty() || now - self.began < patience {
+            return Some(self.mirror.members.clone());
+        }
+        if !others.iter().any(|n| hears(n)) {
+            return None;
+        }
+        let mut live = self.mirror.members.clone();
+        live.retain(|n, _| {
+            n == me || hears(n) || {
+                let agreed = others.iter().any(|o| {
+                    *o != n
+                        && hears(o)
+                        && self.hears.get(*o).is_some_and(|(_, h)| h.contains(me) && !h.contains(n))
+                });
+                !agreed
+            }
+        });
+        Some(live)
+    }
+
     /// Proposes the next epoch when the live members aren't the epoch's. The
     /// leader does it at once, the others after a moment, so that they rarely
     /// race; only one proposal can win.
@@ -524,7 +564,8 @@
         if self.mirror.members.get(me).map(|m| m.0.inc) != Some(self.inc) {
             return;
         }
-        let Some(next) = membership::next_epoch(self.mirror.epoch.as_ref(), &self.mirror.members) else {
+        let Some(live) = self.reachable_members(now) else { return };
+        let Some(next) = membership::next_epoch(self.mirror.epoch.as_ref(), &live) else {
             self.epoch_wanted = None;
             return;
         };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -208,6 +208,8 @@
 pub struct Timing {
     pub report_s: Secs,
     pub lease_s: Secs,
+    /// The longest that a member left out of an epoch may not know of it.
+    pub member_life_s: Secs,
 }
 
 /// A part of the fleet.
@@ -709,7 +711,9 @@
                 // worker has seen a higher token.
                 m.counter += 1;
                 m.direct_bad_until = now + report_s;
-                if now - m.heard.unwrap_or(m.since) > report_s * 1.5 {
+                // One taken over that doesn't answer the first question is
+                // suspected at once.
+                if m.heard.is_none_or(|h| now - h > report_s * 1.5) {
                     m.deaf = m.deaf.or(Some(now));
                 }
             }
@@ -1077,7 +1081,9 @@
     /// can't be seen. A session it was answered in is over for good.
     pub fn lapse(&mut self, now: Secs) {
         let limit = clock::surely(self.timing.lease_s);
-        let entered = self.entered;
+        // An earlier owner may have been left out of the epoch while it was
+        // alive, and answers until it reads so or its own lease's time is up.
+        let entered = self.entered + clock::surely(self.timing.member_life_s);
         let silent: Vec<MachineId> = self
             .machines
             .iter()
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -38,6 +38,9 @@
     pub to: String,
     /// Whether the sender reaches the state service.
     pub fresh: bool,
+    /// Whom the sender hears (and knows to reach the state service).
+    #[serde(default)]
+    pub hears: Vec<String>,
     pub message: Message,
 }
 
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -280,6 +280,22 @@
         }
     }
 
+    /// A live node is left out: it acts on until it reads so.
+    fn shun(&mut self, i: usize) {
+        let mut members = self.epoch.members.clone();
+        members.remove(NODES[i]);
+        if !members.is_empty() {
+            self.next_epoch(members);
+        }
+    }
+
+    /// One that was left out is back, in the same incarnation.
+    fn readmit(&mut self, i: usize) {
+        let mut members = self.epoch.members.clone();
+        members.insert(NODES[i].into(), self.nodes[i].inc);
+        self.next_epoch(members);
+    }
+
     fn next_epoch(&mut self, members: BTreeMap<String, u64>) {
         let live =
             members.iter().map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member { inc }, 1))).collect();
@@ -644,7 +660,11 @@
             }
             match down {
                 Some((i, until)) if now >= until => {
-                    self.join(i);
+                    if self.nodes[i].alive {
+                        self.readmit(i);
+                    } else {
+                        self.join(i);
+                    }
                     down = None;
                 }
                 None if self.rng.gen_bool(0.01) => {
@@ -652,6 +672,9 @@
                     if self.rng.gen_bool(0.4) {
                         // Back within a moment: the epoch never saw it go.
                         self.join(i);
+                    } else if self.rng.gen_bool(0.5) {
+                        self.shun(i);
+                        down = Some((i, now + self.rng.gen_range(0.5..15.0)));
                     } else {
                         self.leave(i);
                         down = Some((i, now + self.rng.gen_range(0.5..15.0)));
@@ -664,7 +687,7 @@
 }
 
 fn fresh_node(i: usize) -> Node {
-    let timing = Timing { report_s: 3.0, lease_s: LEASE };
+    let timing = Timing { report_s: 3.0, lease_s: LEASE, member_life_s: LEASE * 0.4 };
     Node {
         inc: 0,
         alive: false,
