--- a/src/deal.rs
+++ b/src/deal.rs
@@ -67,6 +67,7 @@
     attempts: u64,
     teams: HashMap<Arc<str>, Team>,
     quick: HashSet<Arc<str>>,
+    aims: Aims,
     report_s: Secs,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
@@ -96,6 +97,7 @@
             attempts: 0,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
             quick: settings.quick_classes(),
+            aims: Aims::new(settings),
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
             wants: Vec::new(),
@@ -388,7 +390,8 @@
         if self.parts.is_empty() {
             return touched;
         }
-        let mut order: Vec<(Rank, u64, JobId)> = self
+        let day = clock::day_ms();
+        let mut order: Vec<(Rank, u8, i64, JobId)> = self
             .jobs
             .iter()
             .filter(|(id, e)| {
@@ -396,11 +399,14 @@
                     && now >= e.not_before
                     && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks
             })
-            .map(|(id, e)| (e.spec.rank, due_ms(e), id.clone()))
+            .map(|(id, e)| {
+                let (tier, due) = urgency(&e.spec, e.at_ms, day, &self.aims);
+                (e.spec.rank, tier, due, id.clone())
+            })
             .collect();
         order.sort();
         if let Some(at) = self.cursor.take() {
-            if let Some(pos) = order.iter().position(|o| o.2 == at) {
+            if let Some(pos) = order.iter().position(|o| o.3 == at) {
                 order.rotate_left(pos);
             }
         }
@@ -411,7 +417,7 @@
             .map(|(p, ms)| (p, ms.into_iter().map(|(id, (r, v))| (id, (r, v.clone()))).collect()))
             .collect();
         let mut wants = Vec::new();
-        for (_, _, id) in order {
+        for (_, _, _, id) in order {
             if !more() {
                 self.cursor = Some(id);
                 break;
@@ -687,9 +693,49 @@
     mirror.jobs.get(&task.job).is_some_and(|j| j.record.done || j.finished.has(task.index))
 }
 
-/// When a job is due, for the order among jobs of a rank.
-fn due_ms(e: &Entry) -> u64 {
-    e.at_ms + e.spec.deadline_s.map_or(0, |d| (d * 1000.0) as u64)
+/// The longest time, of those that the aims name, within which jobs of a class
+/// should be finished.
+#[derive(Debug, Clone, Default)]
+pub struct Aims {
+    within: HashMap<Arc<str>, f64>,
+}
+
+impl Aims {
+    fn new(settings: &Settings) -> Aims {
+        let mut aims = Aims::default();
+        for o in &settings.params.objectives {
+            let class: Arc<str> = o.class.as_str().into();
+            if let (true, Some(w)) = (o.kind == "finished", o.within_s) {
+                let known = aims.within.entry(class).or_insert(w);
+                *known = known.max(w);
+            }
+        }
+        aims
+    }
+}
+
+/// The order among jobs of a rank, the most urgent first: by deadline where
+/// there is one. Where the aim is a time to be finished within, who can still
+/// be in time goes before who can't, since under overload the order of arrival
+/// makes everybody late. A job that has waited four times as long goes before
+/// all, so that none starves.
+fn urgency(spec: &JobSpec, at_ms: u64, day_ms: u64, aims: &Aims) -> (u8, i64) {
+    let age = (day_ms as f64 - at_ms as f64) / 1000.0;
+    let in_time = |span: f64| age + spec.estimate_s <= span;
+    let at = |span: f64| at_ms as i64 + (span * 1000.0) as i64;
+    if let Some(d) = spec.deadline_s {
+        return (0, at(d));
+    }
+    match aims.within.get(&spec.class).copied() {
+        Some(w) => {
+            let tier = if in_time(w) || age > w * 4.0 { 0 } else { 2 };
+            // Small jobs first, as more of them are in time so; large ones
+            // catch up with age.
+            let work = spec.estimate_s * f64::from(spec.tasks);
+            (tier, at((work * 0.1).min(w)))
+        }
+        None => (0, at(0.0)),
+    }
 }
 
 trait View {
