--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -291,7 +291,7 @@
                 if now >= self.entitled_until() {
                     return reply.later(503, 1, "fenced");
                 }
-                match self.part.report(&report, &self.mirror, now) {
+                match self.part.report(&report, relayed, &self.mirror, now) {
                     ReportReply::Commands { token, commands } => {
                         let body = ReportAnswer { token, commands };
                         reply.send(200, serde_json::to_vec(&body).unwrap_or_default());
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -657,11 +657,12 @@
     }
 
     /// Whether a machine's owner has heard another machine of the zone since
-    /// this one stopped answering: then it isn't the zone that is cut off.
+    /// this one stopped answering: then it isn't the zone that is cut off. A
+    /// report that came through a third controller shows nothing of the kind.
     pub fn zone_heard_since(&self, m: &MachineView, age: Secs) -> bool {
         let owner = crate::membership::owner(&self.members, &m.id);
         owner.and_then(|o| self.parts.get(o)).is_some_and(|p| {
-            p.machines.values().any(|o| o.id != m.id && o.zone == m.zone && o.heard && o.silent_s < age)
+            p.machines.values().any(|o| o.id != m.id && o.zone == m.zone && o.met_s.is_some_and(|s| s < age))
         })
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -75,6 +75,8 @@
     /// On the roster.
     pub listed: bool,
     pub silent_s: f64,
+    /// How long ago it was heard with nobody in between.
+    pub met_s: Option<f64>,
     /// Since when it has not answered when asked.
     pub deaf_s: Option<f64>,
     pub addr: Option<Arc<str>>,
@@ -186,6 +188,8 @@
     seq: u64,
     counter: u64,
     heard: Option<Secs>,
+    /// When it was last heard with nobody in between.
+    met: Option<Secs>,
     /// When this part came to know of it.
     since: Secs,
     /// When it was last sent an answer that renews its lease.
@@ -366,7 +370,7 @@
     }
 
     /// Takes in a worker's report and composes the answer.
-    pub fn report(&mut self, r: &Report, mirror: &Mirror, now: Secs) -> ReportReply {
+    pub fn report(&mut self, r: &Report, relayed: bool, mirror: &Mirror, now: Secs) -> ReportReply {
         if token_epoch(r.token) > self.epoch {
             // Somebody with a later epoch commands it: an answer of ours
             // would only be dropped.
@@ -388,6 +392,9 @@
             return ReportReply::Refuse;
         }
         m.answered = Some(now);
+        if !relayed {
+            m.met = Some(now);
+        }
         if r.token > token(epoch, m.counter) {
             m.counter = (r.token & 0xff_ffff) + 1;
         }
@@ -693,6 +700,7 @@
         m.in_flight = false;
         match answer {
             Some(r) if r.machine == *id && token_epoch(r.token) <= epoch => {
+                m.met = Some(now);
                 if r.token > token(epoch, m.counter) {
                     m.counter = (r.token & 0xff_ffff) + 1;
                 }
@@ -1156,6 +1164,7 @@
                     heard: m.heard.is_some(),
                     listed: m.listed,
                     silent_s: now - m.heard.unwrap_or(self.entered.max(m.since)),
+                    met_s: m.met.map(|t| now - t),
                     deaf_s: m.deaf.map(|d| now - d),
                     addr: m.addr.clone(),
                     idle_s: if tasks == 0 { now - m.idle_since } else { 0.0 },
@@ -1257,6 +1266,7 @@
             seq: 0,
             counter: 0,
             heard: None,
+            met: None,
             since: now,
             answered: None,
             over: 0,
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -378,7 +378,7 @@
                 }
                 let (session, seq) = (report.session, report.seq);
                 if let ReportReply::Commands { token, commands } =
-                    node.part.report(&report, &node.mirror, now)
+                    node.part.report(&report, false, &node.mirror, now)
                 {
                     self.send(Packet::Answer { machine, session, seq, sent, token, calls: commands });
                 }
