--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -30,6 +30,7 @@
     catalog_pending: bool,
     list_pending: bool,
     rented_at: Secs,
+    emptied_at: Secs,
     /// What is being committed as finished.
     finishing: HashMap<JobId, Vec<Op>>,
     /// Rented by this leader, on their way to the roster.
@@ -329,7 +330,8 @@
                 idle_s: m.idle_s,
                 age_s,
                 tasks: m.tasks,
-                open: m.open,
+                open: m.open && !self.leader.drain.contains(&m.id),
+                stays: catalog.get(&m.kind).is_none_or(|t| t.cpus - m.free.cpus - m.yielding.cpus > 1e-6),
             });
         }
         dead.extend(drained);
@@ -339,6 +341,19 @@
         for id in rent::returns(&in_use, &catalog, spare, &knobs) {
             self.leader.drain.insert(id);
         }
+        if self.leader.wants.is_empty() {
+            if now - self.renting.emptied_at > report_s {
+                self.renting.emptied_at = now;
+                if let Some(id) = rent::to_empty(&in_use, &catalog, spare, &knobs) {
+                    tracing::debug!(%id, "emptying");
+                    self.leader.drain.insert(id);
+                }
+            }
+        } else {
+            // There is work for them after all.
+            let busy: HashSet<&MachineId> = in_use.iter().filter(|m| m.tasks > 0).map(|m| &m.id).collect();
+            self.leader.drain.retain(|id| !busy.contains(id));
+        }
         let roster = &self.mirror.roster;
         self.leader.drain.retain(|id| roster.contains_key(id));
         if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -36,6 +36,8 @@
     pub age_s: Secs,
     pub tasks: u32,
     pub open: bool,
+    /// Holds replicas, which would have to be stopped.
+    pub stays: bool,
 }
 
 /// Knobs, all of them ratios to figures of the settings or the catalogue.
@@ -47,11 +49,13 @@
     pub spare_share: f64,
     /// A machine that isn't up after so many nominal boot times never will be.
     pub never_boots: f64,
+    /// Free room that is kept for new work, as a share of the work there is.
+    pub slack_share: f64,
 }
 
 impl Default for Knobs {
     fn default() -> Self {
-        Knobs { idle_boots: 0.6, spare_share: 0.08, never_boots: 3.0 }
+        Knobs { idle_boots: 0.6, spare_share: 0.08, never_boots: 3.0, slack_share: 0.15 }
     }
 }
 
@@ -156,6 +160,32 @@
     out
 }
 
+/// Which machine to empty next: the dearest per CPU of those that hold nothing
+/// that stays, if the rest have room for what it runs, for what is kept spare
+/// and for a share of all work besides. It takes no new tasks, and is returned
+/// once its last has ended; nothing is stopped for it.
+pub fn to_empty(machines: &[InUse], catalog: &Catalog, spare_cpus: f64, knobs: &Knobs) -> Option<MachineId> {
+    let open = || machines.iter().filter(|m| m.open);
+    let free: f64 = open().map(|m| m.free.cpus.max(0.0)).sum();
+    let total: f64 = open().filter_map(|m| Some(catalog.get(&m.offer.0)?.cpus)).sum();
+    let price = |m: &InUse| {
+        catalog
+            .get(&m.offer.0)
+            .map_or(0.0, |t| if m.offer.2 { t.spot_price } else { t.price } / t.cpus.max(1.0))
+    };
+    open()
+        .filter(|m| !m.stays && m.age_s > LEAST_CHARGE_S)
+        .filter(|m| {
+            let cpus = catalog.get(&m.offer.0).map_or(0.0, |t| t.cpus);
+            // What it runs moves on to the others as its tasks end.
+            free - cpus >= spare_cpus + (total - free) * knobs.slack_share
+        })
+        .max_by(|a, b| {
+            price(a).total_cmp(&price(b)).then(a.free.cpus.total_cmp(&b.free.cpus)).then(b.id.cmp(&a.id))
+        })
+        .map(|m| m.id.clone())
+}
+
 /// A want that stands for the spare room that services need to start at once.
 pub fn spare_want(lacking_cpus: f64, like: &JobSpec) -> Option<Want> {
     if lacking_cpus <= 0.0 || like.cpus <= 0.0 {
