--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -128,7 +128,7 @@
             member_life_s: settings.member_life_s(),
         };
         Controller {
-            part: Part::new(&settings.node_name, timing, settings.quick_classes()),
+            part: Part::new(&settings.node_name, timing, settings.start_aims()),
             leader: Leader::new(&settings),
             mirror: Mirror::new(settings.params.state.value_kb),
             peers: Peers::start(&settings),
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -66,7 +66,7 @@
     joined: BTreeSet<String>,
     attempts: u64,
     teams: HashMap<Arc<str>, Team>,
-    quick: HashSet<Arc<str>>,
+    start_aims: HashMap<Arc<str>, f64>,
     aims: Aims,
     report_s: Secs,
     /// Machines that take no more tasks.
@@ -96,7 +96,7 @@
             joined: BTreeSet::new(),
             attempts: 0,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
-            quick: settings.quick_classes(),
+            start_aims: settings.start_aims(),
             aims: Aims::new(settings),
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
@@ -367,12 +367,7 @@
         for e in self.jobs.values() {
             for d in e.dealt.values().filter(|d| d.machine.is_none()) {
                 if let Some(room) = rooms.get_mut(&d.part) {
-                    let wish = Wish {
-                        spec: &e.spec,
-                        avoid: &[],
-                        quick: self.quick.contains(&e.spec.class),
-                        preempts: false,
-                    };
+                    let wish = Wish { spec: &e.spec, avoid: &[], quick: false, preempts: false };
                     if let Some(id) = best_in(room, &wish, None) {
                         take(room, &id, &e.spec);
                     }
@@ -449,7 +444,7 @@
             let wish = Wish {
                 spec: &spec,
                 avoid: &avoid,
-                quick: self.quick.contains(&spec.class),
+                quick: place::in_a_hurry(&spec, &self.start_aims, mirror.catalog.as_deref()),
                 preempts: spec.rank == Rank::Prod,
             };
             let dealt = if spec.shape == Shape::Gang {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -222,7 +222,7 @@
     node: String,
     timing: Timing,
     /// Classes with an aim for their start.
-    quick: HashSet<Arc<str>>,
+    start_aims: HashMap<Arc<str>, f64>,
     epoch: u64,
     entered: Secs,
     inc: u64,
@@ -260,11 +260,11 @@
 
 impl Part {
     /// An empty part, a member of no epoch.
-    pub fn new(node: &str, timing: Timing, quick: HashSet<Arc<str>>) -> Part {
+    pub fn new(node: &str, timing: Timing, start_aims: HashMap<Arc<str>, f64>) -> Part {
         Part {
             node: node.into(),
             timing,
-            quick,
+            start_aims,
             epoch: 0,
             entered: 0.0,
             inc: 0,
@@ -290,7 +290,7 @@
     pub fn enter(&mut self, epoch: u64, inc: u64, mirror: &Mirror, now: Secs, owns: impl Fn(&str) -> bool) {
         let stays = inc == self.inc && epoch == self.epoch + 1;
         if !stays {
-            let fresh = Part::new(&self.node, self.timing, std::mem::take(&mut self.quick));
+            let fresh = Part::new(&self.node, self.timing, std::mem::take(&mut self.start_aims));
             *self = fresh;
         }
         self.epoch = epoch;
@@ -892,8 +892,8 @@
                 return;
             }
             let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.clone()) else { continue };
-            let chosen = self.choose(&task, &spec, &free, &kept);
-            let quick = self.quick.contains(&spec.class);
+            let quick = place::in_a_hurry(&spec, &self.start_aims, mirror.catalog.as_deref());
+            let chosen = self.choose(&task, &spec, quick, &free, &kept);
             let cold = |id: &MachineId| !self.machines.get(id).is_some_and(|m| m.has_image(&spec.image));
             // Making room where the image is takes less time than fetching it.
             let warmer = quick && chosen.as_ref().is_none_or(cold);
@@ -920,6 +920,7 @@
         &self,
         task: &Task,
         spec: &JobSpec,
+        quick: bool,
         free: &BTreeMap<MachineId, Res>,
         kept: &Kept,
     ) -> Option<MachineId> {
@@ -959,7 +960,7 @@
                 machine_peers: machines.get(&**id).copied().unwrap_or(0),
             })
         });
-        place::pick(spec, self.quick.contains(&spec.class), candidates).map(|c| c.id.into())
+        place::pick(spec, quick, candidates).map(|c| c.id.into())
     }
 
     fn put_on(&mut self, task: &Task, spec: &JobSpec, id: &MachineId, mirror: &Mirror, now: Secs) {
--- a/src/place.rs
+++ b/src/place.rs
@@ -1,6 +1,8 @@
 //! Where a task goes: the paper's filter and cost, and our order of ties.
 
-use crate::wire::{JobSpec, Res};
+use crate::wire::{Catalog, JobSpec, Res};
+use std::collections::HashMap;
+use std::sync::Arc;
 
 /// A machine as the placement sees it.
 #[derive(Debug, Clone)]
@@ -17,6 +19,16 @@
     pub machine_peers: u32,
 }
 
+/// Whether a job is in too much of a hurry for a fetch: its class has an aim
+/// for the start, and the image takes more than half of that to fetch.
+pub fn in_a_hurry(spec: &JobSpec, aims: &HashMap<Arc<str>, f64>, catalog: Option<&Catalog>) -> bool {
+    let slowest = |c: &Catalog| c.types.iter().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min);
+    match (aims.get(&spec.class), catalog.map(slowest)) {
+        (Some(within), Some(rate)) => spec.image_gb / rate > within / 2.0,
+        _ => false,
+    }
+}
+
 /// Whether the job's own wishes allow a machine of this type, zone and kind.
 pub fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
     (spec.spot || !spot)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,7 @@
 //! ignored; a missing or senseless one is named in a single line.
 
 use serde::Deserialize;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -223,10 +223,11 @@
         self.params.workers.lease_s * 0.4
     }
 
-    /// The classes that have an aim for how soon their tasks start.
-    pub fn quick_classes(&self) -> HashSet<Arc<str>> {
+    /// The classes that have an aim for how soon their tasks start, and that
+    /// aim in seconds.
+    pub fn start_aims(&self) -> HashMap<Arc<str>, f64> {
         let aims = self.params.objectives.iter().filter(|o| o.kind == "wait");
-        aims.map(|o| o.class.as_str().into()).collect()
+        aims.filter_map(|o| Some((o.class.as_str().into(), o.within_s?))).collect()
     }
 
     /// A team by name.
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -693,7 +693,7 @@
         alive: false,
         mirror: Mirror::new(8.0),
         seen: 0,
-        part: Part::new(NODES[i], timing, HashSet::new()),
+        part: Part::new(NODES[i], timing, HashMap::new()),
         leader: Leader::new(&settings()),
     }
 }
--- /dev/null
+++ b/tests/proofs.rs
@@ -0,0 +1,325 @@
+//! One small case for each failure found so far: what counts as proof that a
+//! task is nowhere, and what shows that a machine is dead.
+
+use finchwood::fleet::{Deal, Orders, Part, PartReport, Phase, ReportReply, Timing};
+use finchwood::jobs::{Epoch, JobRecord, Member, Mirror, RosterRecord};
+use finchwood::membership::{next_epoch, owner, token};
+use finchwood::rent::{self, Booting, InUse, Knobs, Want};
+use finchwood::state::Bucket;
+use finchwood::wire::{Call, Catalog, JobSpec, MachineType, Rank, Report, Shape, TaskLine, TaskState};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+const TIMING: Timing = Timing { report_s: 3.0, lease_s: 20.0, member_life_s: 8.0 };
+
+fn spec(id: &str, tasks: u32, rank: Rank) -> Arc<JobSpec> {
+    let v = serde_json::json!({
+        "id": id, "flock": "f", "nest": "t", "shape": "array", "rank": "low", "chicks": tasks, "cpus": 2.0,
+        "accelerators": 0.0, "mem_gb": 1.0, "egg": "i", "size_gb": 1.0, "one_zone": false, "scatter": false,
+        "windfall": true, "guess_s": 10.0, "molt_s": 0.0, "stash_s": 0.0
+    });
+    Arc::new(JobSpec { rank, ..serde_json::from_value(v).expect("a spec") })
+}
+
+fn kind() -> MachineType {
+    MachineType {
+        name: "k".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        mem_gb: 16.0,
+        cache_gb: 9.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 20.0,
+        zones: vec!["e".into(), "w".into()],
+    }
+}
+
+fn mirror(jobs: &[(&str, Rank, bool)]) -> Mirror {
+    let mut m = Mirror::new(8.0);
+    let put = |m: &mut Mirror, k: &str, v: serde_json::Value, n| drop(m.put(k, v, n));
+    put(&mut m, "fw/c", serde_json::json!(Catalog { types: vec![kind()] }), 1);
+    let record =
+        RosterRecord { kind: "k".into(), zone: "e".into(), spot: false, up: true, at_ms: 0, addr: None };
+    put(&mut m, "fw/r/m-1", serde_json::json!(record), 2);
+    for (i, (id, rank, cancelled)) in jobs.iter().enumerate() {
+        let r = JobRecord {
+            spec: Some(spec(id, 4, *rank)),
+            epoch: 1,
+            at_ms: 0,
+            tasks: 4,
+            cancelled: *cancelled,
+            done: false,
+        };
+        put(&mut m, &format!("fw/j/{id}"), serde_json::json!(r), 3 + i as u64);
+    }
+    m
+}
+
+fn report(session: u64, seq: u64, token: u64, tasks: &[(&str, u64, TaskState, Option<&str>)]) -> Report {
+    Report {
+        machine: "m-1".into(),
+        addr: "10.0.0.1:1".into(),
+        kind: "k".into(),
+        zone: "e".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: tasks
+            .iter()
+            .map(|(t, attempt, state, why)| TaskLine {
+                task: (*t).into(),
+                attempt: *attempt,
+                state: *state,
+                why: why.map(String::from),
+                saved: None,
+            })
+            .collect(),
+    }
+}
+
+/// A part in epoch 3 that is certain of its one empty machine.
+fn part(mirror: &Mirror) -> (Part, u64) {
+    let mut p = Part::new("a", TIMING, HashMap::new());
+    p.enter(3, 7, mirror, 0.0, |_| true);
+    let first = p.report(&report(1, 1, 0, &[]), false, mirror, 0.1);
+    let ReportReply::Commands { token: t, commands } = first else { panic!("refused") };
+    assert!(commands.is_empty(), "no commands before the content is certain");
+    assert_eq!(t, token(3, 0));
+    p.report(&report(1, 2, t, &[]), false, mirror, 0.2);
+    (p, t)
+}
+
+fn deal(p: &mut Part, mirror: &Mirror, job: &str, tasks: &[(u32, u64)], seq: u64) {
+    let deals = vec![Deal { job: job.into(), tasks: tasks.to_vec(), zone_room: None, avoid: Vec::new() }];
+    let o = Orders {
+        epoch: 3,
+        node: "a".into(),
+        seq,
+        ack: 0,
+        deals,
+        recall: Vec::new(),
+        drain: Vec::new(),
+        running: Vec::new(),
+    };
+    p.orders(&o, mirror, 0.3);
+}
+
+fn recall(p: &mut Part, mirror: &Mirror, task: &str, attempt: u64, seq: u64) {
+    let task = finchwood::wire::Task::parse(task).expect("a task");
+    let o = Orders {
+        epoch: 3,
+        node: "a".into(),
+        seq,
+        ack: 0,
+        deals: Vec::new(),
+        recall: vec![(task, attempt)],
+        drain: Vec::new(),
+        running: Vec::new(),
+    };
+    p.orders(&o, mirror, 0.6);
+}
+
+fn snapshot(p: &mut Part, mirror: &Mirror) -> PartReport {
+    p.snapshot(mirror, 1.0)
+}
+
+#[test]
+fn a_plain_report_is_no_proof_that_an_unanswered_start_is_dead() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, t) = part(&m);
+    deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
+    p.place(&m, 0.4, || true);
+    let directs = p.directs(&m, 0.4);
+    assert!(matches!(directs[0].body.commands[0], Call::Start { .. }));
+    p.direct_done(&"m-1".into(), &directs[0].body, None, &m, 0.5);
+    recall(&mut p, &m, "wk-1/0", 50, 2);
+    // A report under the start's own token doesn't list it: it may yet come.
+    let reply = p.report(&report(1, 3, t, &[]), false, &m, 0.7);
+    let ReportReply::Commands { token: raised, .. } = reply else { panic!("refused") };
+    assert!(raised > directs[0].body.token, "the late start must die");
+    assert!(snapshot(&mut p, &m).gone.is_empty());
+    // A report under the raised token is proof.
+    p.report(&report(1, 4, raised, &[]), false, &m, 0.8);
+    let s = snapshot(&mut p, &m);
+    assert_eq!((s.gone.len(), s.held.len()), (1, 0));
+}
+
+#[test]
+fn a_late_copy_of_a_deal_does_nothing() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, _) = part(&m);
+    deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
+    recall(&mut p, &m, "wk-1/0", 50, 2);
+    assert_eq!(snapshot(&mut p, &m).gone.len(), 1);
+    deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
+    assert!(snapshot(&mut p, &m).held.is_empty());
+}
+
+#[test]
+fn reaps_carry_a_token_above_every_start() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, t) = part(&m);
+    deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
+    p.place(&m, 0.4, || true);
+    let start = p.directs(&m, 0.4).remove(0);
+    let ran = report(1, 3, t, &[("wk-1/0", 50, TaskState::Running, None)]);
+    p.direct_done(&"m-1".into(), &start.body, Some(&ran), &m, 0.5);
+    let ended = report(1, 4, t, &[("wk-1/0", 50, TaskState::Ended, Some("stopped"))]);
+    let ReportReply::Commands { token: at_reap, commands } = p.report(&ended, false, &m, 0.6) else {
+        panic!("refused")
+    };
+    assert!(matches!(commands[0], Call::Forget { .. }));
+    assert!(at_reap > start.body.token);
+}
+
+#[test]
+fn done_is_kept_until_it_is_committed() {
+    let mut m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, t) = part(&m);
+    let done = |seq| report(1, seq, t, &[("wk-1/2", 40, TaskState::Ended, Some("done"))]);
+    let ReportReply::Commands { commands, .. } = p.report(&done(3), false, &m, 0.5) else {
+        panic!("refused")
+    };
+    assert!(commands.is_empty(), "not committed, not reaped");
+    assert_eq!(snapshot(&mut p, &m).held[0].phase, Phase::Done);
+    m.put("fw/f/wk-1/0", "4".into(), 99);
+    p.job_changed(&"wk-1".into(), &m);
+    let ReportReply::Commands { commands, .. } = p.report(&done(4), false, &m, 0.9) else {
+        panic!("refused")
+    };
+    assert!(matches!(commands[0], Call::Forget { .. }));
+    assert!(snapshot(&mut p, &m).held.is_empty());
+}
+
+#[test]
+fn running_tasks_of_a_cancelled_job_are_counted_until_they_stop() {
+    let m = mirror(&[("wk-1", Rank::Low, true)]);
+    let (mut p, t) = part(&m);
+    let runs = report(1, 3, t, &[("wk-1/0", 40, TaskState::Running, None)]);
+    let ReportReply::Commands { commands, .. } = p.report(&runs, false, &m, 0.5) else { panic!("refused") };
+    assert!(matches!(commands[0], Call::Stop { .. }));
+    assert_eq!(snapshot(&mut p, &m).held.len(), 1, "the team's room is still taken");
+}
+
+#[test]
+fn a_worker_answered_a_moment_ago_has_its_lease() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let mut p = Part::new("a", TIMING, HashMap::new());
+    p.enter(3, 7, &m, 0.0, |_| true);
+    // Heard once, under an old token, just before the epoch is a lease old.
+    p.report(&report(1, 1, token(2, 5), &[]), false, &m, 27.0);
+    p.lapse(29.0);
+    assert!(!p.snapshot(&m, 29.0).machines[0].certain);
+    p.lapse(27.0 + 21.0);
+    assert!(p.snapshot(&m, 48.0).machines[0].certain);
+    // Its session is over for good, whatever arrives late.
+    assert_eq!(p.report(&report(1, 2, token(2, 5), &[]), false, &m, 49.0), ReportReply::Refuse);
+    assert!(p.report(&report(2, 1, token(2, 5), &[]), false, &m, 49.0) != ReportReply::Refuse);
+}
+
+#[test]
+fn relayed_reports_do_not_show_that_the_zone_is_reached() {
+    let m = mirror(&[]);
+    let (mut p, t) = part(&m);
+    p.report(&report(1, 3, t, &[]), true, &m, 9.0);
+    let view = &p.snapshot(&m, 9.0).machines[0];
+    assert!(view.silent_s < 0.1 && view.met_s.is_some_and(|s| s > 8.0));
+}
+
+#[test]
+fn higher_work_takes_the_room_of_the_youngest_lower_task() {
+    let m = mirror(&[("wk-1", Rank::Low, false), ("wk-2", Rank::Prod, false)]);
+    let (mut p, t) = part(&m);
+    deal(&mut p, &m, "wk-1", &[(0, 50), (1, 51)], 1);
+    p.place(&m, 0.4, || true);
+    let start = p.directs(&m, 0.4).remove(0);
+    let run = |seq| {
+        let (a, b) = (("wk-1/0", 50, TaskState::Running, None), ("wk-1/1", 51, TaskState::Running, None));
+        report(1, seq, t, &[a, b])
+    };
+    p.direct_done(&"m-1".into(), &start.body, Some(&run(3)), &m, 0.5);
+    deal(&mut p, &m, "wk-2", &[(0, 60)], 2);
+    p.place(&m, 0.6, || true);
+    let stop = p.directs(&m, 0.6).remove(0);
+    let stops = stop.body.commands.iter().filter(|c| matches!(c, Call::Stop { .. })).count();
+    assert_eq!(stops, 1, "one makes room enough: {:?}", stop.body.commands);
+}
+
+#[test]
+fn epochs_keep_the_leader_while_it_lives_and_prefer_survivors() {
+    let live = |m: &[(&str, u64)]| -> BTreeMap<String, (Member, u64)> {
+        m.iter().map(|(n, inc)| (n.to_string(), (Member { inc: *inc }, 1))).collect()
+    };
+    let first = next_epoch(None, &live(&[("a", 1), ("b", 2), ("c", 3)])).expect("an epoch");
+    assert_eq!((first.n, first.leader.as_str()), (1, "a"));
+    assert_eq!(next_epoch(Some(&first), &live(&[("a", 1), ("b", 2), ("c", 3)])), None);
+    let without: Epoch = next_epoch(Some(&first), &live(&[("a", 9), ("b", 2), ("c", 3)])).expect("an epoch");
+    assert_eq!((without.n, without.leader.as_str()), (2, "b"), "a restart knows nothing");
+    let names: BTreeMap<String, u64> = [("a".to_string(), 1), ("b".to_string(), 2)].into();
+    let moved = (0..300)
+        .map(|i| format!("m-{i:06}"))
+        .filter(|m| owner(&without.members, m) != Some("c") && owner(&names, m) != owner(&without.members, m))
+        .count();
+    assert_eq!(moved, 0, "only the machines of one that left change hands");
+    let share = (0..300).filter(|i| owner(&names, &format!("m-{i:06}")) == Some("a")).count();
+    assert!((100..200).contains(&share), "{share} of 300");
+}
+
+#[test]
+fn renting_counts_what_is_coming_and_spreads_replicas() {
+    let catalog = Catalog { types: vec![kind()] };
+    let knobs = Knobs::default();
+    let mut s = (*spec("wk-1", 4, Rank::Prod)).clone();
+    s.shape = Shape::Service;
+    s.spot = false;
+    s.scatter = true;
+    let want = Want { ask: s.ask(), count: 4, spec: Arc::new(s), age_s: 0.0 };
+    let zones = BTreeMap::new();
+    let orders = rent::rent(std::slice::from_ref(&want), &[], &zones, &catalog, &knobs, &|_| false);
+    let per_zone: Vec<u32> = orders.values().copied().collect();
+    assert_eq!(per_zone, [1, 1], "two fit a machine, half of four a zone: {orders:?}");
+    let coming: Vec<Booting> =
+        orders.keys().map(|o| Booting { id: "".into(), offer: o.clone(), age_s: 1.0 }).collect();
+    assert!(rent::rent(std::slice::from_ref(&want), &coming, &zones, &catalog, &knobs, &|_| false).is_empty());
+    // Where nothing is to be had, nothing is asked for.
+    assert!(rent::rent(&[want], &[], &zones, &catalog, &knobs, &|_| true).is_empty());
+}
+
+#[test]
+fn spare_room_and_machines_with_replicas_are_not_given_up() {
+    let catalog = Catalog { types: vec![kind()] };
+    let knobs = Knobs::default();
+    let machine = |id: &str, used: f64, stays: bool| InUse {
+        id: id.into(),
+        offer: ("k".into(), "e".into(), false),
+        free: finchwood::wire::Res { cpus: 4.0 - used, gpus: 0.0, mem: 16.0 },
+        idle_s: if used > 0.0 { 0.0 } else { 100.0 },
+        age_s: 200.0,
+        tasks: used as u32,
+        open: true,
+        stays,
+    };
+    let fleet = [machine("m-1", 0.0, false), machine("m-2", 0.0, false), machine("m-3", 2.0, true)];
+    assert_eq!(rent::returns(&fleet, &catalog, 6.0, &knobs), vec![Arc::<str>::from("m-1")]);
+    assert!(rent::returns(&fleet, &catalog, 10.0, &knobs).is_empty());
+    let busy = [machine("m-1", 1.0, false), machine("m-2", 0.0, true), machine("m-3", 0.0, true)];
+    assert_eq!(rent::to_empty(&busy, &catalog, 2.0, &knobs), Some("m-1".into()));
+    assert_eq!(rent::to_empty(&busy, &catalog, 9.0, &knobs), None);
+}
+
+#[test]
+fn the_rate_budget_waits_and_lets_renewals_go_first() {
+    let mut b = Bucket::new(10.0, 10.0, 0.0);
+    for _ in 0..10 {
+        assert!(b.take(1.0, 0.0).is_ok());
+    }
+    let wait = b.take(1.0, 0.0).expect_err("empty");
+    assert!((wait - 0.1).abs() < 1e-9);
+    b.force(1.0, 0.0);
+    assert!(b.take(1.0, 0.15).is_err(), "the renewal's call is owed");
+    assert!(b.take(1.0, 0.25).is_ok());
+}
