--- a/src/clock.rs
+++ b/src/clock.rs
@@ -15,6 +15,20 @@
     START.get_or_init(Instant::now).elapsed().as_secs_f64()
 }
 
+/// A moment on both clocks, for decisions that also need the age of jobs.
+#[derive(Debug, Clone, Copy)]
+pub struct When {
+    pub now: Secs,
+    pub day_ms: u64,
+}
+
+impl When {
+    /// The present.
+    pub fn present() -> When {
+        When { now: now(), day_ms: day_ms() }
+    }
+}
+
 /// Milliseconds of the time of day (only ever used for ordering and age).
 pub fn day_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,7 +5,7 @@
 mod leading;
 mod users;
 
-use crate::clock::{self, Secs};
+use crate::clock::{self, Secs, When};
 use crate::cloud;
 use crate::deal::Leader;
 use crate::fleet::{Direct, Part, ReportReply, Timing};
@@ -478,7 +478,7 @@
             if self.leading() {
                 self.lead(now, end);
             }
-            self.part.place(&self.mirror, now, || clock::now() < end);
+            self.part.place(&self.mirror, When::present(), || clock::now() < end);
             for direct in self.part.directs(&self.mirror, now) {
                 if let Err(e) = self.directs.try_send((direct, until)) {
                     let (d, _) = e.into_inner();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 //! seen ended, its machine is off the roster, its worker began a new session,
 //! or a report under a token above that of the last start doesn't list it.
 
-use crate::clock::{self, Secs};
+use crate::clock::{self, Secs, When};
 use crate::jobs::{Mirror, RosterRecord};
 use crate::membership::{token, token_epoch};
 use crate::place::{self, Candidate};
@@ -865,7 +865,8 @@
 
     /// Places what is queued, the highest rank first, until `more` says that
     /// the round's time is over; the next round goes on with the rest.
-    pub fn place(&mut self, mirror: &Mirror, now: Secs, mut more: impl FnMut() -> bool) {
+    pub fn place(&mut self, mirror: &Mirror, when: When, mut more: impl FnMut() -> bool) {
+        let now = when.now;
         let mut queue: Vec<(Rank, Secs, Task)> = self
             .held
             .iter()
@@ -897,7 +898,7 @@
             let cold = |id: &MachineId| !self.machines.get(id).is_some_and(|m| m.has_image(&spec.image));
             // Making room where the image is takes less time than fetching it.
             let warmer = quick && chosen.as_ref().is_none_or(cold);
-            if warmer && self.make_room(&task, &spec, &free, &mut kept, true, mirror, now) {
+            if warmer && self.make_room(&task, &spec, &free, &mut kept, true, mirror, when) {
                 continue;
             }
             match chosen {
@@ -908,7 +909,7 @@
                     self.put_on(&task, &spec, &id, mirror, now);
                 }
                 None => {
-                    if !self.make_room(&task, &spec, &free, &mut kept, false, mirror, now) {
+                    if !self.make_room(&task, &spec, &free, &mut kept, false, mirror, when) {
                         self.leave(&task, Leave::Passed);
                     }
                 }
@@ -1012,14 +1013,14 @@
         kept: &mut Kept,
         warm: bool,
         mirror: &Mirror,
-        now: Secs,
+        when: When,
     ) -> bool {
         let Some(held) = self.held.get(task) else { return false };
-        if now - held.since >= self.timing.report_s + spec.save_s {
+        if when.now - held.since >= self.timing.report_s + spec.save_s {
             return false;
         }
         let bounds = self.bounds.get(&task.job);
-        let mut best: Option<(f64, MachineId, Vec<Attempt>)> = None;
+        let mut best: Option<((u32, f64), MachineId, Vec<Attempt>)> = None;
         for (id, f) in free {
             let Some(m) = self.machines.get(id) else { continue };
             let zone_full = bounds.is_some_and(|b| b.room.get(&m.zone).copied().unwrap_or(0) == 0);
@@ -1032,7 +1033,7 @@
                 continue;
             }
             let promised = kept.0.get(id).copied().unwrap_or_default();
-            if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror) {
+            if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror, when) {
                 if best.as_ref().is_none_or(|b| lost < b.0) {
                     best = Some((lost, id.clone(), victims));
                 }
@@ -1046,8 +1047,9 @@
         true
     }
 
-    /// Lower tasks on a machine whose end makes room, the youngest first.
-    /// Room that is being made already counts.
+    /// Lower tasks on a machine whose end makes room: first those that a new
+    /// start doesn't make late, then the youngest. Also how many it makes late
+    /// all the same, and the CPUs lost. Room that is being made already counts.
     fn victims(
         &self,
         id: &MachineId,
@@ -1055,11 +1057,12 @@
         promised: Res,
         spec: &JobSpec,
         mirror: &Mirror,
-    ) -> Option<(Vec<Attempt>, f64)> {
+        when: When,
+    ) -> Option<(Vec<Attempt>, (u32, f64))> {
         let ask = spec.ask();
         let mut room = free;
         room.take(&promised);
-        let mut able: Vec<(Rank, Secs, &Task, u64, Res)> = Vec::new();
+        let mut able: Vec<(Rank, bool, Secs, &Task, u64, Res)> = Vec::new();
         for (t, h) in &self.held {
             let Some(p) = h.at.as_ref().filter(|p| p.machine == *id && p.phase != Phase::Done) else {
                 continue;
@@ -1068,20 +1071,24 @@
             if p.stop.is_some() {
                 room.give(&s.ask());
             } else if yields(s, spec.rank) {
-                able.push((s.rank, p.since, t, h.attempt, s.ask()));
+                let job = &mirror.jobs[&t.job].record;
+                let age = when.day_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
+                let ran = when.now - p.since;
+                able.push((s.rank, made_late(s, age, ran), p.since, t, h.attempt, s.ask()));
             }
         }
-        able.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        let (mut victims, mut lost) = (Vec::new(), 0.0);
-        for (_, _, t, attempt, res) in able {
+        able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(b.2.total_cmp(&a.2)));
+        let (mut victims, mut late, mut lost) = (Vec::new(), 0, 0.0);
+        for (_, hurt, t, attempt, res) in able.into_iter().map(|v| (v.0, v.1, v.3, v.4, v.5)) {
             if room.fits(&ask) {
                 break;
             }
             room.give(&res);
+            late += u32::from(hurt);
             lost += res.cpus;
             victims.push((t.clone(), attempt));
         }
-        room.fits(&ask).then_some((victims, lost))
+        room.fits(&ask).then_some((victims, (late, lost)))
     }
 
     /// A worker that has had no answer for the whole of its lease has killed
@@ -1223,6 +1230,14 @@
 #[derive(Debug, Default)]
 struct Kept(BTreeMap<MachineId, Res>);
 
+/// Whether a task that would be in time becomes late by starting anew.
+fn made_late(spec: &JobSpec, age: Secs, ran: Secs) -> bool {
+    spec.deadline_s.is_some_and(|d| {
+        let in_time = age + (spec.estimate_s - ran).max(0.0) <= d;
+        in_time && spec.checkpoint_s <= 0.0 && age + spec.estimate_s > d
+    })
+}
+
 /// Whether a job's tasks may be stopped for one of `rank`.
 fn yields(spec: &JobSpec, rank: Rank) -> bool {
     spec.rank > rank && spec.shape == Shape::Array
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -491,7 +491,7 @@
             return;
         }
         node.part.lapse(now);
-        node.part.place(&node.mirror, now, || true);
+        node.part.place(&node.mirror, finchwood::clock::When { now, day_ms: 0 }, || true);
         node.part.tidy(&node.mirror);
         let directs = node.part.directs(&node.mirror, now);
         let snapshot = node.part.snapshot(&node.mirror, now);
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -1,6 +1,7 @@
 //! One small case for each failure found so far: what counts as proof that a
 //! task is nowhere, and what shows that a machine is dead.
 
+use finchwood::clock::When;
 use finchwood::fleet::{Deal, Orders, Part, PartReport, Phase, ReportReply, Timing};
 use finchwood::jobs::{Epoch, JobRecord, Member, Mirror, RosterRecord};
 use finchwood::membership::{next_epoch, owner, token};
@@ -132,7 +133,7 @@
     let m = mirror(&[("wk-1", Rank::Low, false)]);
     let (mut p, t) = part(&m);
     deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
-    p.place(&m, 0.4, || true);
+    p.place(&m, When { now: 0.4, day_ms: 0 }, || true);
     let directs = p.directs(&m, 0.4);
     assert!(matches!(directs[0].body.commands[0], Call::Start { .. }));
     p.direct_done(&"m-1".into(), &directs[0].body, None, &m, 0.5);
@@ -164,7 +165,7 @@
     let m = mirror(&[("wk-1", Rank::Low, false)]);
     let (mut p, t) = part(&m);
     deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
-    p.place(&m, 0.4, || true);
+    p.place(&m, When { now: 0.4, day_ms: 0 }, || true);
     let start = p.directs(&m, 0.4).remove(0);
     let ran = report(1, 3, t, &[("wk-1/0", 50, TaskState::Running, None)]);
     p.direct_done(&"m-1".into(), &start.body, Some(&ran), &m, 0.5);
@@ -235,7 +236,7 @@
     let m = mirror(&[("wk-1", Rank::Low, false), ("wk-2", Rank::Prod, false)]);
     let (mut p, t) = part(&m);
     deal(&mut p, &m, "wk-1", &[(0, 50), (1, 51)], 1);
-    p.place(&m, 0.4, || true);
+    p.place(&m, When { now: 0.4, day_ms: 0 }, || true);
     let start = p.directs(&m, 0.4).remove(0);
     let run = |seq| {
         let (a, b) = (("wk-1/0", 50, TaskState::Running, None), ("wk-1/1", 51, TaskState::Running, None));
@@ -243,7 +244,7 @@
     };
     p.direct_done(&"m-1".into(), &start.body, Some(&run(3)), &m, 0.5);
     deal(&mut p, &m, "wk-2", &[(0, 60)], 2);
-    p.place(&m, 0.6, || true);
+    p.place(&m, When { now: 0.6, day_ms: 0 }, || true);
     let stop = p.directs(&m, 0.6).remove(0);
     let stops = stop.body.commands.iter().filter(|c| matches!(c, Call::Stop { .. })).count();
     assert_eq!(stops, 1, "one makes room enough: {:?}", stop.body.commands);
