Low work waits a little for spot machines before ordinary ones are rented

Cause: ordinary CPUs, over four times as dear, were rented within a second for low arrays whose room often came free moments later.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,6 +57,7 @@
             let knob = match field.as_str() {
                 "idle_boots" => &mut policy.knobs.idle_boots,
                 "spare_share" => &mut policy.knobs.spare_share,
+                "low_waits_boots" => &mut policy.knobs.low_waits_boots,
                 "slack_share" => &mut policy.knobs.slack_share,
                 "never_boots" => &mut policy.knobs.never_boots,
                 _ => return Err(PolicyError::Senseless { field, why: "no such setting".into() }),
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -49,13 +49,22 @@
     pub spare_share: f64,
     /// A machine that isn't up after so many nominal boot times never will be.
     pub never_boots: f64,
+    /// Low work that may run on spot machines waits for one this many of the
+    /// longest boot times before an ordinary one is rented for it.
+    pub low_waits_boots: f64,
     /// Free room that is kept for new work, as a share of the work there is.
     pub slack_share: f64,
 }
 
 impl Default for Knobs {
     fn default() -> Self {
-        Knobs { idle_boots: 0.6, spare_share: 0.08, never_boots: 3.0, slack_share: 0.15 }
+        Knobs {
+            idle_boots: 0.6,
+            spare_share: 0.08,
+            never_boots: 3.0,
+            low_waits_boots: 0.4,
+            slack_share: 0.15,
+        }
     }
 }
 
@@ -104,6 +113,7 @@
                 .filter(|o| {
                     place::allowed(&w.spec, &o.0, &o.1, o.2)
                         && !blocked(o)
+                        && (o.2 || !waits_for_spot(w, catalog, knobs))
                         && in_zone.get(&o.1).copied().unwrap_or(0) < cap
                 })
                 .filter_map(|o| {
@@ -131,6 +141,13 @@
     new
 }
 
+/// Low work is in no hurry: spot machines and room that comes free are cheaper
+/// than an ordinary machine rented at once.
+fn waits_for_spot(w: &Want, catalog: &Catalog, knobs: &Knobs) -> bool {
+    let boot = catalog.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+    w.spec.spot && w.spec.rank == Rank::Low && w.age_s < boot * knobs.low_waits_boots
+}
+
 fn offers(catalog: &Catalog) -> impl Iterator<Item = Offer> + '_ {
     catalog.types.iter().flat_map(|t| {
         t.zones.iter().flat_map(move |z| [true, false].map(|spot| (t.name.clone(), z.clone(), spot)))
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -290,6 +290,54 @@
     assert!(rent::rent(&[want], &[], &zones, &catalog, &knobs, &|_| true).is_empty());
 }
 
+#[test]
+fn low_work_waits_for_spot_and_the_rest_does_not() {
+    let catalog = Catalog { types: vec![kind()] };
+    let knobs = Knobs::default();
+    let no_spot = |o: &rent::Offer| o.2;
+    let count = |rank, age_s| {
+        let s = spec("wk-1", 4, rank);
+        let want = Want { ask: s.ask(), count: 2, spec: s, age_s };
+        rent::rent(&[want], &[], &BTreeMap::new(), &catalog, &knobs, &no_spot).values().sum::<u32>()
+    };
+    assert_eq!((count(Rank::Low, 1.0), count(Rank::Low, 60.0), count(Rank::Standard, 1.0)), (0, 1, 1));
+}
+
+#[test]
+fn services_stop_first_what_is_not_made_late() {
+    let mut m = mirror(&[("wk-2", Rank::Prod, false)]);
+    for (id, due) in [("wk-3", 15.0), ("wk-4", 600.0)] {
+        let s = JobSpec { deadline_s: Some(due), ..(*spec(id, 1, Rank::Low)).clone() };
+        let r = JobRecord {
+            spec: Some(Arc::new(s)),
+            epoch: 1,
+            at_ms: 0,
+            tasks: 1,
+            cancelled: false,
+            done: false,
+        };
+        m.put(&format!("fw/j/{id}"), serde_json::json!(r), 20);
+    }
+    let (mut p, t) = part(&m);
+    deal(&mut p, &m, "wk-4", &[(0, 50)], 1);
+    p.place(&m, When { now: 0.4, day_ms: 0 }, || true);
+    deal(&mut p, &m, "wk-3", &[(0, 51)], 2);
+    p.place(&m, When { now: 0.5, day_ms: 0 }, || true);
+    let both = [("wk-4/0", 50, TaskState::Running, None), ("wk-3/0", 51, TaskState::Running, None)];
+    p.report(&report(1, 3, t, &both), false, &m, 0.6);
+    deal(&mut p, &m, "wk-2", &[(0, 60)], 3);
+    // Eight seconds in, the youngest would miss its time if started anew.
+    p.place(&m, When { now: 1.0, day_ms: 8000 }, || true);
+    let stop = p.directs(&m, 1.0).remove(0);
+    let stopped: Vec<&str> = stop
+        .body
+        .commands
+        .iter()
+        .filter_map(|c| if let Call::Stop { task, .. } = c { Some(task.as_str()) } else { None })
+        .collect();
+    assert_eq!(stopped, ["wk-4/0"]);
+}
+
 #[test]
 fn spare_room_and_machines_with_replicas_are_not_given_up() {
     let catalog = Catalog { types: vec![kind()] };
