--- a/src/rent.rs
+++ b/src/rent.rs
@@ -97,12 +97,14 @@
     order.sort_by_key(|w| w.spec.rank);
     for w in order {
         let mut in_zone: HashMap<Arc<str>, u32> = HashMap::new();
+        // Jobs for one zone get all their machines in the zone of the first.
+        let zone_ok = |zone: &Arc<str>, taken: &HashMap<Arc<str>, u32>| {
+            taken.get(zone).copied().unwrap_or(0) < w.spec.zone_cap()
+                && (!w.spec.one_zone || taken.is_empty() || taken.contains_key(zone))
+        };
         for _ in 0..w.count {
-            let cap = w.spec.zone_cap();
             let fits = coming.iter_mut().find(|(o, free)| {
-                place::allowed(&w.spec, &o.0, &o.1, o.2)
-                    && free.fits(&w.ask)
-                    && in_zone.get(&o.1).copied().unwrap_or(0) < cap
+                place::allowed(&w.spec, &o.0, &o.1, o.2) && free.fits(&w.ask) && zone_ok(&o.1, &in_zone)
             });
             if let Some((o, free)) = fits {
                 free.take(&w.ask);
@@ -114,7 +116,7 @@
                     place::allowed(&w.spec, &o.0, &o.1, o.2)
                         && !blocked(o)
                         && (o.2 || !waits_for_spot(w, catalog, knobs))
-                        && in_zone.get(&o.1).copied().unwrap_or(0) < cap
+                        && zone_ok(&o.1, &in_zone)
                 })
                 .filter_map(|o| {
                     let t = catalog.get(&o.0)?;
