Replicas move off half-empty machines; a large fleet empties several at once

Change: when nothing waits, the dearest and emptiest ordinary machine whose replicas fit twice into the rest of its zone is drained and its replicas moved, a 1500th of all a second; up to 2% of the fleet is emptied per report interval, and only as much is taken back as waiting work needs.

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -7,13 +7,16 @@
 use crate::jobs::{chunk_key, job_key, JobRecord, RosterRecord, CATALOG_KEY};
 use crate::rent::{self, Booting, InUse, Offer, LEAST_CHARGE_S};
 use crate::state::{Class, Op, Outcome, Write, BULK_SHARE};
-use crate::wire::{JobId, Listed, MachineId, RentRequest, Shape};
+use crate::wire::{Catalog, JobId, Listed, MachineId, RentRequest, Shape};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The most machines that one request may name.
 const MOST_RENTED: u32 = 50;
 
+/// The share of all replicas that may be moved in a second.
+const MOVED_PER_S: f64 = 1.0 / 1500.0;
+
 /// The leader's dealings with the cloud.
 #[derive(Debug, Default)]
 pub(crate) struct Renting {
@@ -32,6 +35,7 @@
     list_pending: bool,
     rented_at: Secs,
     emptied_at: Secs,
+    move_after: Secs,
     /// What is being committed as finished.
     finishing: HashMap<JobId, Vec<Op>>,
     looked_at: Secs,
@@ -275,7 +279,10 @@
                 age_s,
                 tasks: m.tasks,
                 open: m.open && !self.leader.drain.contains(&m.id),
-                stays: catalog.get(&m.kind).is_none_or(|t| t.cpus - m.free.cpus - m.yielding.cpus > 1e-6),
+                stays_cpus: catalog
+                    .get(&m.kind)
+                    .map_or(0.0, |t| t.cpus - m.free.cpus - m.yielding.cpus)
+                    .max(0.0),
             });
         }
         dead.extend(drained);
@@ -288,18 +295,27 @@
         if self.leader.wants.is_empty() {
             if now - self.renting.emptied_at > report_s {
                 self.renting.emptied_at = now;
-                if let Some(id) = rent::to_empty(&in_use, &catalog, spare, &knobs) {
+                for id in rent::to_empty(&in_use, &catalog, spare, &knobs) {
                     tracing::debug!(%id, "emptying");
                     self.leader.drain.insert(id);
                 }
             }
+            self.move_replicas(&in_use, &catalog, spare, now);
         } else {
-            // There is work for them after all.
-            let busy: HashSet<&MachineId> = in_use.iter().filter(|m| m.tasks > 0).map(|m| &m.id).collect();
-            self.leader.drain.retain(|id| !busy.contains(id));
+            // There is work for them after all: as many as it needs.
+            let mut needed: f64 = self.leader.wants.iter().map(|w| w.ask.cpus * f64::from(w.count)).sum();
+            for m in in_use.iter().filter(|m| m.tasks > 0) {
+                if needed <= 0.0 || !self.leader.drain.contains(&m.id) {
+                    continue;
+                }
+                needed -= m.free.cpus.max(0.0);
+                self.leader.drain.remove(&m.id);
+                self.leader.moving.remove(&m.id);
+            }
         }
         let roster = &self.mirror.roster;
         self.leader.drain.retain(|id| roster.contains_key(id));
+        self.leader.moving.retain(|id| roster.contains_key(id));
         if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
             return;
         }
@@ -340,6 +356,21 @@
         }
     }
 
+    /// Moves the replicas of a machine that is mostly empty, so that it can be
+    /// returned. Each is away for about a second, so that only a small share of
+    /// all is moved in any while.
+    fn move_replicas(&mut self, in_use: &[InUse], catalog: &Catalog, spare: f64, now: Secs) {
+        if now < self.renting.move_after || !self.leader.resolved() {
+            return;
+        }
+        let Some(m) = rent::to_move(in_use, catalog, spare) else { return };
+        tracing::debug!(id = %m.id, cpus = m.stays_cpus, "moving its replicas");
+        let away = m.stays_cpus / self.leader.service_cpus().max(1.0);
+        self.renting.move_after = now + (away / MOVED_PER_S).max(self.settings.params.workers.report_s / 4.0);
+        self.leader.drain.insert(m.id.clone());
+        self.leader.moving.insert(m.id.clone());
+    }
+
     /// Zones of which at least half of several machines are silent: cut off
     /// rather than dead.
     fn cut_zones(&self, now: Secs) -> (HashSet<Arc<str>>, Secs, Secs) {
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -120,6 +120,8 @@
     report_s: Secs,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
+    /// Machines whose replicas are to move to others.
+    pub moving: BTreeSet<MachineId>,
     /// What could not be dealt in the last round, for renting.
     pub wants: Vec<Want>,
     cursor: Option<JobId>,
@@ -151,6 +153,7 @@
             aims: Aims::new(settings),
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
+            moving: BTreeSet::new(),
             wants: Vec::new(),
             cursor: None,
         }
@@ -163,6 +166,7 @@
         if !stays {
             self.jobs.clear();
             self.drain.clear();
+            self.moving.clear();
         }
         self.epoch = e.n;
         self.inc = inc;
@@ -751,13 +755,24 @@
             };
             self.jobs.iter().map(|(id, e)| (id.clone(), running(e))).filter(|(_, n)| *n > 0).collect()
         });
+        let mut recall = Vec::new();
+        if !self.moving.is_empty() {
+            for (id, e) in self.jobs.iter().filter(|(_, e)| e.spec.shape == Shape::Service) {
+                let there = |d: &Dealt| d.machine.as_ref().is_some_and(|m| self.moving.contains(m));
+                let on = e.dealt.iter().filter(|(_, d)| &*d.part == node && d.phase == Phase::Running);
+                recall.extend(
+                    on.filter(|(_, d)| there(d))
+                        .map(|(i, d)| (Task { job: id.clone(), index: *i }, d.attempt)),
+                );
+            }
+        }
         Some(Orders {
             epoch: self.epoch,
             node: node.into(),
             seq,
             ack,
             deals,
-            recall: Vec::new(),
+            recall,
             drain: self.drain.iter().cloned().collect(),
             running,
         })
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,6 +14,7 @@
 use crate::place::{self, Candidate};
 use crate::wire::{
     Call, Commands, JobId, JobSpec, MachineId, Rank, Report, Res, Shape, Task, TaskLine, TaskState,
+    START_COUNTS_S,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -855,7 +856,14 @@
         self.dropped.retain(|d| d.2 > o.ack);
         self.unlisted.retain(|u| u.1 > o.ack);
         for (task, attempt) in &o.recall {
-            self.recall(task, *attempt, Stop::Recalled);
+            // One that has only just started is moved later: users count on
+            // a start for that long.
+            let young = self.held.get(task).and_then(|h| h.at.as_ref()).is_some_and(|p| {
+                p.phase == Phase::Running && p.stop.is_none() && now - p.since < START_COUNTS_S
+            });
+            if !young {
+                self.recall(task, *attempt, Stop::Recalled);
+            }
         }
         for (id, m) in &mut self.machines {
             let drain = o.drain.contains(id);
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Secs;
 use crate::place;
-use crate::wire::{Catalog, JobSpec, MachineId, Rank, Res, Shape};
+use crate::wire::{Catalog, JobSpec, MachineId, MachineType, Rank, Res, Shape};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -36,8 +36,8 @@
     pub age_s: Secs,
     pub tasks: u32,
     pub open: bool,
-    /// Holds replicas, which would have to be stopped.
-    pub stays: bool,
+    /// CPUs of what would have to be stopped, as it doesn't end by itself.
+    pub stays_cpus: f64,
 }
 
 /// Knobs, all of them ratios to figures of the settings or the catalogue.
@@ -197,30 +197,70 @@
     out
 }
 
-/// Which machine to empty next: the dearest per CPU of those that hold nothing
-/// that stays, if the rest have room for what it runs, for what is kept spare
-/// and for a share of all work besides. It takes no new tasks, and is returned
-/// once its last has ended; nothing is stopped for it.
-pub fn to_empty(machines: &[InUse], catalog: &Catalog, spare_cpus: f64, knobs: &Knobs) -> Option<MachineId> {
-    let open = || machines.iter().filter(|m| m.open);
-    let free: f64 = open().map(|m| m.free.cpus.max(0.0)).sum();
-    let total: f64 = open().filter_map(|m| Some(catalog.get(&m.offer.0)?.cpus)).sum();
-    let price = |m: &InUse| {
-        catalog
-            .get(&m.offer.0)
-            .map_or(0.0, |t| if m.offer.2 { t.spot_price } else { t.price } / t.cpus.max(1.0))
-    };
-    open()
-        .filter(|m| !m.stays && m.age_s > LEAST_CHARGE_S)
+/// How much of the fleet may begin to be emptied in one report interval.
+const EMPTIED_SHARE: f64 = 0.02;
+
+fn price_per_cpu(m: &InUse, catalog: &Catalog) -> f64 {
+    let price = |t: &MachineType| if m.offer.2 { t.spot_price } else { t.price };
+    catalog.get(&m.offer.0).map_or(0.0, |t| price(t) / t.cpus.max(1.0))
+}
+
+fn cpus(m: &InUse, catalog: &Catalog) -> f64 {
+    catalog.get(&m.offer.0).map_or(0.0, |t| t.cpus)
+}
+
+/// Which machines to empty next: the dearest per CPU of those that hold
+/// nothing that stays, as long as the rest have room for what they run, for
+/// what is kept spare and for a share of all work besides. They take no new
+/// tasks, and are returned once their last has ended; nothing is stopped for
+/// it. A large fleet empties several at a time.
+pub fn to_empty(machines: &[InUse], catalog: &Catalog, spare_cpus: f64, knobs: &Knobs) -> Vec<MachineId> {
+    let open: Vec<&InUse> = machines.iter().filter(|m| m.open).collect();
+    let mut free: f64 = open.iter().map(|m| m.free.cpus.max(0.0)).sum();
+    let total: f64 = open.iter().map(|m| cpus(m, catalog)).sum();
+    let work = total - free;
+    let mut order: Vec<&InUse> =
+        open.iter().copied().filter(|m| m.stays_cpus <= 1e-6 && m.age_s > LEAST_CHARGE_S).collect();
+    order.sort_by(|a, b| {
+        let (pa, pb) = (price_per_cpu(a, catalog), price_per_cpu(b, catalog));
+        pb.total_cmp(&pa).then(b.free.cpus.total_cmp(&a.free.cpus)).then(a.id.cmp(&b.id))
+    });
+    let most = ((open.len() as f64 * EMPTIED_SHARE) as usize).max(1);
+    let mut out = Vec::new();
+    for m in order {
+        // What it runs moves on to the others as its tasks end.
+        if out.len() >= most || free - cpus(m, catalog) < spare_cpus + work * knobs.slack_share {
+            break;
+        }
+        free -= cpus(m, catalog);
+        out.push(m.id.clone());
+    }
+    out
+}
+
+/// Which machine's replicas to move next, so that it can be returned: the
+/// dearest per CPU, then the emptiest, of the ordinary machines whose replicas
+/// fit into what other ordinary machines of their zone have free. What is
+/// kept spare stays free besides, and so does as much again: a move must not
+/// lead to a new machine.
+pub fn to_move<'a>(machines: &'a [InUse], catalog: &Catalog, spare_cpus: f64) -> Option<&'a InUse> {
+    let ordinary = || machines.iter().filter(|m| m.open && !m.offer.2);
+    let free: f64 = ordinary().map(|m| m.free.cpus.max(0.0)).sum();
+    let mut in_zone: HashMap<&str, f64> = HashMap::new();
+    for m in ordinary() {
+        *in_zone.entry(&m.offer.1).or_default() += m.free.cpus.max(0.0);
+    }
+    ordinary()
+        .filter(|m| m.stays_cpus > 0.0 && m.age_s > 2.0 * LEAST_CHARGE_S)
         .filter(|m| {
-            let cpus = catalog.get(&m.offer.0).map_or(0.0, |t| t.cpus);
-            // What it runs moves on to the others as its tasks end.
-            free - cpus >= spare_cpus + (total - free) * knobs.slack_share
+            let left = free - m.free.cpus.max(0.0) - m.stays_cpus;
+            let there = in_zone[&*m.offer.1] - m.free.cpus.max(0.0);
+            left >= spare_cpus * 2.0 && there >= m.stays_cpus * 2.0
         })
-        .max_by(|a, b| {
-            price(a).total_cmp(&price(b)).then(a.free.cpus.total_cmp(&b.free.cpus)).then(b.id.cmp(&a.id))
+        .min_by(|a, b| {
+            let (pa, pb) = (price_per_cpu(a, catalog), price_per_cpu(b, catalog));
+            pb.total_cmp(&pa).then(a.stays_cpus.total_cmp(&b.stays_cpus)).then(a.id.cmp(&b.id))
         })
-        .map(|m| m.id.clone())
 }
 
 /// A want that stands for the spare room that services need to start at once.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -106,6 +106,8 @@
 pub const MOST_TASKS: u32 = 100_000;
 /// How long users wait for a job's first start, in seconds, whatever its size.
 pub const BEGIN_WITHIN_S: f64 = 240.0;
+/// How long a task must stay, in seconds, for its start to count for users.
+pub const START_COUNTS_S: f64 = 30.0;
 /// The largest body anybody may send.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -351,14 +351,66 @@
         age_s: 200.0,
         tasks: used as u32,
         open: true,
-        stays,
+        stays_cpus: if stays { used } else { 0.0 },
     };
     let fleet = [machine("m-1", 0.0, false), machine("m-2", 0.0, false), machine("m-3", 2.0, true)];
     assert_eq!(rent::returns(&fleet, &catalog, 6.0, &knobs), vec![Arc::<str>::from("m-1")]);
     assert!(rent::returns(&fleet, &catalog, 10.0, &knobs).is_empty());
-    let busy = [machine("m-1", 1.0, false), machine("m-2", 0.0, true), machine("m-3", 0.0, true)];
-    assert_eq!(rent::to_empty(&busy, &catalog, 2.0, &knobs), Some("m-1".into()));
-    assert_eq!(rent::to_empty(&busy, &catalog, 9.0, &knobs), None);
+    let busy = [machine("m-1", 1.0, false), machine("m-2", 0.5, true), machine("m-3", 0.5, true)];
+    assert_eq!(rent::to_empty(&busy, &catalog, 2.0, &knobs), [Arc::<str>::from("m-1")]);
+    assert!(rent::to_empty(&busy, &catalog, 9.0, &knobs).is_empty());
+}
+
+/// Without moves, the replicas left at the end of a day hold half-empty
+/// machines for as long as they run.
+#[test]
+fn replicas_move_only_where_the_rest_has_room_to_spare() {
+    let catalog = Catalog { types: vec![kind()] };
+    let machine = |id: &str, zone: &str, used: f64, spot: bool| InUse {
+        id: id.into(),
+        offer: ("k".into(), zone.into(), spot),
+        free: finchwood::wire::Res { cpus: 4.0 - used, gpus: 0.0, mem: 16.0 },
+        idle_s: 0.0,
+        age_s: 200.0,
+        tasks: used as u32,
+        open: true,
+        stays_cpus: if spot { 0.0 } else { used },
+    };
+    let chosen =
+        |fleet: &[InUse], spare: f64| rent::to_move(fleet, &catalog, spare).map(|m| m.id.to_string());
+    let fleet =
+        [machine("m-1", "e", 2.0, false), machine("m-2", "e", 1.0, false), machine("m-3", "e", 1.0, false)];
+    assert_eq!(chosen(&fleet, 1.0).as_deref(), Some("m-2"), "the emptiest");
+    assert_eq!(chosen(&fleet, 2.5), None, "what is spare stays free twice over");
+    let apart =
+        [machine("m-1", "e", 1.0, false), machine("m-2", "w", 1.0, false), machine("m-3", "e", 1.0, true)];
+    assert_eq!(chosen(&apart, 0.0), None, "not to another zone, not to spot machines");
+}
+
+#[test]
+fn a_replica_that_has_just_started_is_moved_later() {
+    let m = mirror(&[("wk-1", Rank::Prod, false)]);
+    let (mut p, t) = part(&m);
+    deal(&mut p, &m, "wk-1", &[(0, 50)], 1);
+    p.place(&m, When { now: 0.4, day_ms: 0 }, || true);
+    let start = p.directs(&m, 0.4).remove(0);
+    let runs = report(1, 3, t, &[("wk-1/0", 50, TaskState::Running, None)]);
+    p.direct_done(&"m-1".into(), &start.body, Some(&runs), &m, 0.5);
+    recall(&mut p, &m, "wk-1/0", 50, 2);
+    assert!(p.directs(&m, 0.7).is_empty(), "a start counts for half a minute");
+    let orders = Orders {
+        epoch: 3,
+        node: "a".into(),
+        seq: 3,
+        ack: 0,
+        deals: Vec::new(),
+        recall: vec![(finchwood::wire::Task { job: "wk-1".into(), index: 0 }, 50)],
+        drain: Vec::new(),
+        running: None,
+    };
+    p.report(&report(1, 4, t, &[("wk-1/0", 50, TaskState::Running, None)]), false, &m, 31.0);
+    p.orders(&orders, &m, 31.0);
+    assert!(matches!(p.directs(&m, 31.1)[0].body.commands[0], Call::Stop { .. }));
 }
 
 #[test]
