Room kept for replicas, shared parts for those in a hurry, late arrays spared

Late jobs were stopped first, so that one job had 32 tasks stopped.

Ruled out: waiting for boots (10 of 34 late jobs waited, none without a stop).

--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -269,7 +269,8 @@
                 drained.push(m.id.clone());
             }
             if !m.spot && m.open {
-                free_ordinary += (m.free.cpus + m.yielding.cpus).max(0.0);
+                // Of lower work there, half ends while a machine boots.
+                free_ordinary += (m.free.cpus + m.yielding.cpus / 2.0).max(0.0);
             }
             in_use.push(InUse {
                 id: m.id.clone(),
@@ -289,6 +290,7 @@
         self.delete(dead, now);
         let service = self.leader.service_cpus();
         let spare = service * knobs.spare_share;
+        self.leader.reserve = spare;
         for id in rent::returns(&in_use, &catalog, spare, &knobs) {
             self.leader.drain.insert(id);
         }
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -120,6 +120,8 @@
     report_s: Secs,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
+    /// CPUs on ordinary machines that are kept free for services to come.
+    pub reserve: f64,
     /// Machines whose replicas are to move to others.
     pub moving: BTreeSet<MachineId>,
     /// What could not be dealt in the last round, for renting.
@@ -154,6 +156,7 @@
             report_s: settings.params.workers.report_s,
             drain: BTreeSet::new(),
             moving: BTreeSet::new(),
+            reserve: 0.0,
             wants: Vec::new(),
             cursor: None,
         }
@@ -486,7 +489,7 @@
     fn rooms(&self) -> Rooms {
         let open = self.parts.values().flat_map(|p| p.machines.values());
         let open = open.filter(|m| m.view.open && !self.drain.contains(&m.view.id));
-        let mut rooms = Rooms::new(open.map(|m| m.slot.clone()).collect());
+        let mut rooms = Rooms::new(open.map(|m| m.slot.clone()).collect(), self.reserve);
         for e in self.jobs.values() {
             let mut wish = None;
             for d in e.dealt.values().filter(|d| d.machine.is_none()) {
@@ -685,6 +688,14 @@
         else {
             return Vec::new();
         };
+        // No part has room where the image is for all of a job in a hurry:
+        // several parts share it, each told how many a zone may take of it.
+        if wish.quick && rooms.warm(wish, &chosen) < free.len() && !spec.one_zone {
+            let spread = rooms.try_place(wish, free.len(), None, &room, false);
+            if spread.len() >= chosen.len() && rooms.warm(wish, &spread) > rooms.warm(wish, &chosen) {
+                return self.deal_spread(id, wish, &spread, free, rooms);
+            }
+        }
         if spec.one_zone && chosen.len() < free.len() && e.dealt.is_empty() {
             return Vec::new();
         }
@@ -703,7 +714,7 @@
     /// Gangs are the leader's own: dealt only when every task is free and all
     /// fit at once, over as many parts as that takes.
     fn deal_gang(&mut self, id: &JobId, wish: &Wish, free: &[u32], rooms: &mut Rooms) -> Dealing {
-        let Some(e) = self.jobs.get_mut(id) else { return Vec::new() };
+        let Some(e) = self.jobs.get(id) else { return Vec::new() };
         if !e.unknown.is_empty() || !e.dealt.is_empty() {
             return Vec::new();
         }
@@ -713,6 +724,20 @@
         if chosen.len() < free.len() {
             return Vec::new();
         }
+        self.deal_spread(id, wish, &chosen, free, rooms)
+    }
+
+    /// Deals tasks to the parts of the chosen machines, and tells each part
+    /// how many of them a zone may take there.
+    fn deal_spread(
+        &mut self,
+        id: &JobId,
+        wish: &Wish,
+        chosen: &[usize],
+        free: &[u32],
+        rooms: &mut Rooms,
+    ) -> Dealing {
+        let Some(e) = self.jobs.get_mut(id) else { return Vec::new() };
         let mut out: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
         e.room.clear();
         for (&slot, &index) in chosen.iter().zip(free) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -420,7 +420,7 @@
                 (Some(p), Leave::Lost) if p.stop.is_some() => Leave::Stopped,
                 _ => how,
             };
-            tracing::debug!(%task, ?how, machine = ?h.at.as_ref().map(|p| &p.machine), "left");
+            tracing::debug!(%task, ?how, stop = ?h.at.as_ref().and_then(|p| p.stop), machine = ?h.at.as_ref().map(|p| &p.machine), "left");
             self.gone.push(Gone {
                 task: task.clone(),
                 attempt: h.attempt,
@@ -1149,7 +1149,7 @@
 
     /// Lower tasks on a machine whose end makes room: first those that a new
     /// start doesn't make late, then the youngest. Also how many it makes late
-    /// all the same, and the CPUs lost. Room that is being made already counts.
+    /// all the same, and the work lost. Room that is being made already counts.
     fn victims(
         &self,
         id: &MachineId,
@@ -1179,13 +1179,14 @@
         }
         able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(b.2.total_cmp(&a.2)));
         let (mut victims, mut late, mut lost) = (Vec::new(), 0, 0.0);
-        for (_, hurt, t, attempt, res) in able.into_iter().map(|v| (v.0, v.1, v.3, v.4, v.5)) {
+        for (_, hurt, since, t, attempt, res) in able {
             if room.fits(&ask) {
                 break;
             }
             room.give(&res);
             late += u32::from(hurt);
-            lost += res.cpus;
+            // What it has done so far is done again.
+            lost += res.cpus * (when.now - since).max(1.0);
             victims.push((t.clone(), attempt));
         }
         room.fits(&ask).then_some((victims, (late, lost)))
@@ -1358,12 +1359,15 @@
 #[derive(Debug, Default)]
 struct Kept(BTreeMap<MachineId, Res>);
 
-/// Whether a task that would be in time becomes late by starting anew.
+/// Whether a job becomes late by starting a task anew, or, if it is late, later
+/// by another half of the time it was given: else those that are late already
+/// would be stopped again and again.
 fn made_late(spec: &JobSpec, age: Secs, ran: Secs) -> bool {
-    spec.deadline_s.is_some_and(|d| {
-        let in_time = age + (spec.estimate_s - ran).max(0.0) <= d;
-        in_time && spec.checkpoint_s <= 0.0 && age + spec.estimate_s > d
-    })
+    spec.checkpoint_s <= 0.0
+        && spec.deadline_s.filter(|d| *d > 0.0).is_some_and(|d| {
+            let halves = |ends: Secs| (ends / (d / 2.0)).ceil().max(2.0);
+            halves(age + spec.estimate_s) > halves(age + (spec.estimate_s - ran).max(0.0))
+        })
 }
 
 /// Whether a job's tasks may be stopped for one of `rank`.
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -115,33 +115,71 @@
     }
 }
 
+/// What decides between machines, the lowest first: cold for one in a hurry,
+/// others driven out, dearer than need be, what is left over, cold.
+type Key = (bool, bool, bool, i64, bool);
+
+/// What a part's machines have free.
+#[derive(Debug)]
+struct PartRoom {
+    part: u32,
+    free: f64,
+    /// Of that, on ordinary machines.
+    ordinary: f64,
+}
+
+impl PartRoom {
+    fn count(&mut self, spot: bool, cpus: f64) {
+        self.free += cpus;
+        if !spot {
+            self.ordinary += cpus;
+        }
+    }
+}
+
 /// The room of all parts.
 #[derive(Debug, Default)]
 pub struct Rooms {
     pub slots: Vec<Slot>,
-    /// Part and what its machines have free.
-    parts: Vec<(u32, f64)>,
+    parts: Vec<PartRoom>,
+    /// CPUs on each part's ordinary machines that only work which makes others
+    /// give way may take: what it would else drive out loses its progress.
+    reserve: f64,
     /// Wishes that nothing had room for in this round: room only shrinks.
     hopeless: Vec<Wish>,
 }
 
 impl Rooms {
-    /// Rooms of these machines.
-    pub fn new(slots: Vec<Slot>) -> Rooms {
-        let mut parts: Vec<(u32, f64)> = Vec::new();
+    /// Rooms of these machines, of which `reserve` CPUs on ordinary ones are
+    /// kept for the highest rank.
+    pub fn new(slots: Vec<Slot>, reserve: f64) -> Rooms {
+        let mut parts: Vec<PartRoom> = Vec::new();
         for s in &slots {
-            match parts.iter_mut().find(|p| p.0 == s.part) {
-                Some(p) => p.1 += s.free.cpus.max(0.0),
-                None => parts.push((s.part, s.free.cpus.max(0.0))),
+            if !parts.iter().any(|p| p.part == s.part) {
+                parts.push(PartRoom { part: s.part, free: 0.0, ordinary: 0.0 });
+            }
+            if let Some(p) = parts.iter_mut().find(|p| p.part == s.part) {
+                p.count(s.spot, s.free.cpus.max(0.0));
             }
         }
-        Rooms { slots, parts, hopeless: Vec::new() }
+        let reserve = reserve / parts.len().max(1) as f64;
+        Rooms { slots, parts, reserve, hopeless: Vec::new() }
+    }
+
+    /// The parts whose ordinary machines this wish must leave alone.
+    fn kept(&self, wish: &Wish) -> Vec<u32> {
+        if wish.preempts {
+            return Vec::new();
+        }
+        let kept = self.parts.iter().filter(|p| p.ordinary - wish.ask.cpus < self.reserve);
+        kept.map(|p| p.part).collect()
     }
 
     /// The machine that the paper's cost chooses, of a part or of all, among
     /// the zones that may take more.
     pub fn best(&self, wish: &Wish, part: Option<u32>, zones: Option<&[(u32, u32)]>) -> Option<usize> {
-        let mut best: Option<((bool, bool, i64, bool), usize)> = None;
+        let mut best: Option<(Key, usize)> = None;
+        let kept = if self.reserve > 0.0 { self.kept(wish) } else { Vec::new() };
         for (i, s) in self.slots.iter().enumerate() {
             if part.is_some_and(|p| p != s.part)
                 || (s.spot && !wish.spot)
@@ -149,11 +187,13 @@
                 || wish.kinds.as_ref().is_some_and(|k| !k.contains(&s.kind))
                 || zones.is_some_and(|z| !z.iter().any(|(name, n)| *name == s.zone && *n > 0))
                 || wish.avoid.contains(&s.id)
+                || !s.spot && kept.contains(&s.part)
             {
                 continue;
             }
             let mut free = s.free;
-            if wish.preempts {
+            let drives_out = !free.fits(&wish.ask);
+            if drives_out && wish.preempts {
                 free.give(&s.yielding);
             }
             if !free.fits(&wish.ask) {
@@ -161,7 +201,7 @@
             }
             let cold = wish.image.is_none_or(|i| s.images.binary_search(&i).is_err());
             let cost = place::steps(place::cost(&free, &wish.ask));
-            let key = (wish.quick && cold, wish.spot && !s.spot, cost, cold);
+            let key = (wish.quick && cold, drives_out, wish.spot && !s.spot, cost, cold);
             let better =
                 best.as_ref().is_none_or(|(k, at)| key < *k || key == *k && s.id < self.slots[*at].id);
             if better {
@@ -185,40 +225,39 @@
 
     /// Takes a task's room.
     pub fn take(&mut self, slot: usize, ask: &Res) {
-        let s = &mut self.slots[slot];
-        let before = s.free.cpus.max(0.0);
-        s.free.take(ask);
-        let change = s.free.cpus.max(0.0) - before;
-        if let Some(p) = self.parts.iter_mut().find(|p| p.0 == s.part) {
-            p.1 += change;
-        }
+        self.change(slot, |free| free.take(ask));
     }
 
     fn give_back(&mut self, slot: usize, ask: &Res) {
+        self.change(slot, |free| free.give(ask));
+    }
+
+    fn change(&mut self, slot: usize, change: impl Fn(&mut Res)) {
         let s = &mut self.slots[slot];
         let before = s.free.cpus.max(0.0);
-        s.free.give(ask);
-        let change = s.free.cpus.max(0.0) - before;
-        if let Some(p) = self.parts.iter_mut().find(|p| p.0 == s.part) {
-            p.1 += change;
+        change(&mut s.free);
+        let more = s.free.cpus.max(0.0) - before;
+        if let Some(p) = self.parts.iter_mut().find(|p| p.part == s.part) {
+            p.count(s.spot, more);
         }
     }
 
     /// The parts that have open machines.
     pub fn parts(&self) -> Vec<u32> {
-        self.parts.iter().map(|p| p.0).collect()
+        self.parts.iter().map(|p| p.part).collect()
     }
 
     /// What a part's machines have free.
     pub fn total(&self, part: u32) -> f64 {
-        self.parts.iter().find(|p| p.0 == part).map_or(0.0, |p| p.1)
+        self.parts.iter().find(|p| p.part == part).map_or(0.0, |p| p.free)
     }
 
     /// The part with the most room, of those not in `full`; the first by name
     /// of several.
     pub fn roomiest(&self, full: &[u32], names: &Names) -> Option<u32> {
-        let open = self.parts.iter().filter(|p| !full.contains(&p.0));
-        open.max_by(|a, b| a.1.total_cmp(&b.1).then(names.name(b.0).cmp(names.name(a.0)))).map(|p| p.0)
+        let open = self.parts.iter().filter(|p| !full.contains(&p.part));
+        open.max_by(|a, b| a.free.total_cmp(&b.free).then(names.name(b.part).cmp(names.name(a.part))))
+            .map(|p| p.part)
     }
 
     /// As many of `n` tasks as fit one after another under the zones' bounds;
@@ -255,11 +294,13 @@
         chosen
     }
 
-    /// How many of the chosen machines have the image of a job in a hurry.
+    /// How many of the chosen machines have the image of a job in a hurry, and
+    /// room for it without driving anybody out.
     pub fn warm(&self, wish: &Wish, chosen: &[usize]) -> usize {
         match wish.image {
             Some(i) if wish.quick => {
-                chosen.iter().filter(|&&s| self.slots[s].images.binary_search(&i).is_ok()).count()
+                let ready = |s: &Slot| s.images.binary_search(&i).is_ok() && s.free.fits(&wish.ask);
+                chosen.iter().filter(|&&s| ready(&self.slots[s])).count()
             }
             _ => 0,
         }
--- a/tests/placement_model.rs
+++ b/tests/placement_model.rs
@@ -173,7 +173,7 @@
             .collect();
         let mut names = Names::default();
         let slots = nodes.iter().map(|n| Slot::new(&view(n), 0, &mut names)).collect();
-        let mut rooms = Rooms::new(slots);
+        let mut rooms = Rooms::new(slots, 0.0);
         for (ask, (spot, kind, zone, quick)) in jobs {
             let spec = spec(ask, spot, kind, zone);
             let wish = Wish::new(&spec, &names, Vec::new(), quick, false);
@@ -196,3 +196,34 @@
     });
     assert!(result.is_ok(), "{result:?}");
 }
+
+/// Arrays once filled the last room of ordinary machines, and nearly every new
+/// replica stopped one of their tasks: all late jobs had lost one so.
+#[test]
+fn lower_work_leaves_the_room_that_is_kept_for_services() {
+    let node = |i: usize, spot: bool| Node {
+        id: format!("m-{i}"),
+        kind: 0,
+        zone: 0,
+        spot,
+        free: [8, 0, 8],
+        cached: false,
+        zone_peers: 0,
+        machine_peers: 0,
+    };
+    let nodes = [node(0, false), node(1, false), node(2, true)];
+    let mut names = Names::default();
+    let slots = nodes.iter().map(|n| Slot::new(&view(n), 0, &mut names)).collect();
+    let mut rooms = Rooms::new(slots, 4.0);
+    let array = spec([2, 0, 1], true, None, None);
+    let wish = Wish::new(&array, &names, Vec::new(), false, false);
+    let mut taken = Vec::new();
+    while let Some(slot) = rooms.best(&wish, None, None) {
+        rooms.take(slot, &wish.ask);
+        taken.push(rooms.slots[slot].spot);
+    }
+    // All four on the spot machine, then four of eight on ordinary ones.
+    assert_eq!(taken, [true, true, true, true, false, false, false, false]);
+    let service = Wish::new(&array, &names, Vec::new(), false, true);
+    assert!(rooms.best(&service, None, None).is_some());
+}
