Tests of what the users added: one-way machines, late copies, cut-off controllers

Five controllers in the model of the hostile world, with machines that hear nothing, copies up to three leases late, deletions, isolated controllers, outages, and several restarts at once in an election; when all is over, every array must be done and no deleted machine may be back. Five real controllers behind gates that hold traffic back: one cut off from state and peers refuses users at once with Retry-After and workers with 503, and is not healthy; after each trouble every node answers about every job.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -1,139 +1,19 @@
-//! Three controllers as real processes on the loopback, against stand-ins:
-//! submit, run, crash, withdraw, done.
+//! Controllers as real processes on the loopback, against stand-ins: three
+//! through a day's work, and five through one trouble after another, at whose
+//! end stands the question that users have: what became of each of my jobs?
 
 mod common;
 
-use common::{cloud, state_service, Seen};
+use common::cluster::{job, Cluster, PATIENCE};
+use common::Seen;
 use serde_json::{json, Value};
-use std::net::{SocketAddr, TcpListener};
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Longer than anything here takes, even on a machine that is busy.
-const PATIENCE: Duration = Duration::from_secs(90);
-
-struct Cluster {
-    users: Vec<SocketAddr>,
-    configs: Vec<std::path::PathBuf>,
-    children: Vec<Option<Child>>,
-    agent: ureq::Agent,
-}
-
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
-impl Cluster {
-    fn start(seen: &Arc<Mutex<Seen>>) -> Cluster {
-        let users: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
-        let backs: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
-        let state = state_service();
-        let cloud = cloud(users.clone(), seen.clone());
-        let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let mut configs = Vec::new();
-        for i in 0..3 {
-            let mut text = format!(
-                "node_name = \"n{i}\"\nzone = \"e\"\nclient_listen = \"{}\"\nback = \"{}\"\n",
-                users[i], backs[i]
-            );
-            for j in (0..3).filter(|&j| j != i) {
-                text += &format!(
-                    "[[members]]\nnode_name = \"n{j}\"\nzone = \"e\"\nendpoint = \"{}\"\n",
-                    backs[j]
-                );
-            }
-            text += &format!("[services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n");
-            text += "[params]\ninitial_size = 3\nzones = [\"e\", \"w\"]\ntime_bound_ms = 10.0\n\
-                [[params.teams]]\nname = \"t\"\ncpus_max = 40.0\n\
-                [params.workers]\nreport_s = 0.9\nlease_s = 8.0\ncancel_s = 16.0\n\
-                [params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
-                [params.cloud]\nrps = 30.0\nlist_lag_s = 1.0\n\
-                [params.machine_limits]\ncore_share = 1.0\nram_mb = 200.0\nmax_connections = 500\n";
-            let path = dir.join(format!("node-{i}.toml"));
-            std::fs::write(&path, text).expect("a settings file");
-            configs.push(path);
-        }
-        let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(5)).build();
-        let mut c = Cluster { users, configs, children: vec![None, None, None], agent };
-        (0..3).for_each(|i| c.boot(i));
-        c
-    }
-
-    fn boot(&mut self, i: usize) {
-        let child = Command::new(env!("CARGO_BIN_EXE_finchwood"))
-            .arg("--config")
-            .arg(&self.configs[i])
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("a controller");
-        self.children[i] = Some(child);
-    }
-
-    fn kill(&mut self, i: usize) {
-        if let Some(mut child) = self.children[i].take() {
-            child.kill().expect("killed");
-            child.wait().expect("ended");
-        }
-    }
-
-    fn call(&self, i: usize, method: &str, path: &str, body: Option<Value>) -> (u16, Value, Option<String>) {
-        let request = self.agent.request(method, &format!("http://{}{path}", self.users[i]));
-        let answer = match body {
-            Some(b) => request.send_string(&b.to_string()),
-            None => request.call(),
-        };
-        let r = match answer {
-            Ok(r) | Err(ureq::Error::Status(_, r)) => r,
-            Err(_) => return (0, Value::Null, None),
-        };
-        let retry = r.header("Retry-After").map(String::from);
-        (r.status(), serde_json::from_str(&r.into_string().unwrap_or_default()).unwrap_or_default(), retry)
-    }
-
-    /// Repeats a call, as users do, until it is answered as wished.
-    fn until(
-        &self,
-        i: usize,
-        method: &str,
-        path: &str,
-        body: Option<Value>,
-        ok: impl Fn(u16, &Value) -> bool,
-    ) {
-        let begin = Instant::now();
-        let mut last = (0, Value::Null, None);
-        while begin.elapsed() < PATIENCE {
-            last = self.call(i, method, path, body.clone());
-            if ok(last.0, &last.1) {
-                return;
-            }
-            // Whatever can't be taken now says when to come back.
-            if matches!(last.0, 429 | 503) {
-                assert!(last.2.is_some(), "{method} {path}: {} without Retry-After", last.0);
-            }
-            std::thread::sleep(Duration::from_millis(100));
-        }
-        panic!("{method} {path}: last answer {last:?}");
-    }
-}
-
-impl Drop for Cluster {
-    fn drop(&mut self) {
-        (0..3).for_each(|i| self.kill(i));
-    }
-}
-
-fn job(id: &str, shape: &str, tasks: u32) -> Value {
-    json!({"id": id, "flock": "f", "nest": "t", "shape": shape, "rank": "prod", "chicks": tasks,
-        "cpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "egg": "i", "size_gb": 1.0, "breeds": null,
-        "grove": null, "one_zone": false, "scatter": shape == "standing", "windfall": false,
-        "guess_s": 1.5, "molt_s": 0.0, "stash_s": 0.0, "dusk_s": null})
-}
-
 #[test]
 fn three_controllers_submit_run_crash_withdraw_done() {
     let seen = Arc::new(Mutex::new(Seen::default()));
-    let mut c = Cluster::start(&seen);
+    let mut c = Cluster::start(3, "three", &seen);
     let running = |_: u16, v: &Value| v["mood"] == "running";
     for i in 0..3 {
         c.until(i, "GET", "/up", None, |s, _| s == 200);
@@ -185,3 +65,93 @@
     assert!(s.twice.is_empty(), "on two machines at once: {:?}", s.twice);
     assert!(s.starts >= 11);
 }
+
+const NODES: usize = 5;
+
+fn submit(c: &Cluster, node: usize, jobs: &mut Vec<String>, shape: &str, tasks: u32) {
+    // Even ends complete by themselves.
+    let n = 2 * jobs.len() + if shape == "array" { 2 } else { 1 };
+    let id = format!("wk-{n:06}");
+    c.until(node, "POST", "/v2/runs", Some(job(&id, shape, tasks)), |s, _| s == 201 || s == 200);
+    jobs.push(id);
+}
+
+/// Refused at once, and told when to come back: nothing is held back.
+fn refused_at_once(c: &Cluster, node: usize, id: &str) {
+    for (method, path, body) in [
+        ("GET", format!("/v2/runs/{id}"), None),
+        ("POST", "/v2/runs".to_string(), Some(job("wk-900000", "array", 1))),
+        ("POST", format!("/v2/runs/{id}/withdraw"), None),
+    ] {
+        let begin = Instant::now();
+        let (status, _, retry) = c.call(node, method, &path, body);
+        assert_eq!(status, 503, "{method} {path}");
+        assert!(retry.is_some(), "{method} {path}: no Retry-After");
+        assert!(begin.elapsed() < Duration::from_secs(4), "{method} {path} was held back");
+    }
+}
+
+/// Every node answers about every job.
+fn all_known(c: &Cluster, jobs: &[String]) {
+    for node in 0..NODES {
+        for id in jobs {
+            c.until(node, "GET", &format!("/v2/runs/{id}"), None, |s, _| {
+                assert_ne!(s, 404, "{id} is forgotten at node {node}");
+                s == 200
+            });
+        }
+    }
+}
+
+#[test]
+fn after_each_trouble_every_node_answers_about_every_job() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let mut c = Cluster::start(NODES, "five", &seen);
+    let mut jobs = Vec::new();
+    for i in 0..NODES {
+        c.until(i, "GET", "/up", None, |s, _| s == 200);
+    }
+    for i in 0..NODES {
+        submit(&c, i, &mut jobs, if i == 0 { "standing" } else { "array" }, 3);
+    }
+    // One loses the state service and all others, but not its workers.
+    c.cut(1, true);
+    c.until(1, "GET", "/up", None, |s, _| s == 503);
+    refused_at_once(&c, 1, &jobs[0]);
+    let report = json!({"perch": "m-x", "address": "127.0.0.1:9", "breed": "box", "grove": "e",
+        "windfall": false, "flight": 1, "chirp": 1, "crest": 0, "warning_s": null, "chicks": []});
+    let begin = Instant::now();
+    while ![421, 503].contains(&c.call(1, "POST", "/agent/beat", Some(report.clone())).0) {
+        assert!(begin.elapsed() < PATIENCE, "a fenced controller keeps its workers");
+    }
+    submit(&c, 2, &mut jobs, "array", 4);
+    c.cut(1, false);
+    c.until(1, "GET", "/up", None, |s, _| s == 200);
+    all_known(&c, &jobs);
+    // Back within a moment, several at once and again in the election.
+    for i in [0, 3, 0, 4, 3] {
+        c.kill(i);
+        c.boot(i);
+    }
+    submit(&c, 2, &mut jobs, "array", 3);
+    all_known(&c, &jobs);
+    // Nobody reaches the state service for longer than a member's lease.
+    c.outage(true);
+    std::thread::sleep(Duration::from_secs(5));
+    refused_at_once(&c, 0, &jobs[0]);
+    c.outage(false);
+    submit(&c, 0, &mut jobs, "array", 2);
+    all_known(&c, &jobs);
+    // All at once.
+    (0..NODES).for_each(|i| c.kill(i));
+    (0..NODES).for_each(|i| c.boot(i));
+    all_known(&c, &jobs);
+    // What was accepted runs to its end.
+    for id in jobs.iter().filter(|id| id.ends_with(['0', '2', '4', '6', '8'])) {
+        c.until(4, "GET", &format!("/v2/runs/{id}"), None, |_, v| v["mood"] == "done");
+    }
+    let running = |_: u16, v: &Value| v["mood"] == "running";
+    c.until(3, "GET", &format!("/v2/runs/{}", jobs[0]), None, running);
+    let s = seen.lock().expect("seen");
+    assert!(s.twice.is_empty(), "on two machines at once: {:?}", s.twice);
+}
--- /dev/null
+++ b/tests/common/cluster.rs
@@ -0,0 +1,207 @@
+//! Controllers as real processes on the loopback, against stand-ins. Every
+//! link from a controller to the state service or to another controller leads
+//! through a gate that can be shut.
+
+use super::{cloud, state_service, Seen};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A link that holds back whatever is sent while it is shut, and delivers it
+/// afterwards.
+#[derive(Clone)]
+pub struct Gate {
+    pub addr: SocketAddr,
+    shut: Arc<AtomicBool>,
+}
+
+impl Gate {
+    fn to(target: SocketAddr) -> Gate {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let shut = Arc::new(AtomicBool::new(false));
+        let state = shut.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(onward) = TcpStream::connect(target) else { continue };
+                let (a, b) = (stream.try_clone().expect("cloned"), onward.try_clone().expect("cloned"));
+                for (from, to) in [(stream, onward), (b, a)] {
+                    let state = state.clone();
+                    std::thread::spawn(move || pass(from, to, &state));
+                }
+            }
+        });
+        Gate { addr, shut }
+    }
+
+    pub fn shut(&self, shut: bool) {
+        self.shut.store(shut, Ordering::SeqCst);
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, shut: &AtomicBool) {
+    let mut buffer = [0; 8192];
+    while let Ok(n) = from.read(&mut buffer) {
+        while shut.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        if n == 0 || to.write_all(&buffer[..n]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
+
+/// Longer than anything here takes, even on a machine that is busy.
+pub const PATIENCE: Duration = Duration::from_secs(90);
+
+pub struct Cluster {
+    pub users: Vec<SocketAddr>,
+    configs: Vec<std::path::PathBuf>,
+    children: Vec<Option<Child>>,
+    agent: ureq::Agent,
+    /// Each node's way to the state service, and to each of the others.
+    state: Vec<Gate>,
+    links: Vec<Vec<Gate>>,
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+impl Cluster {
+    /// Starts `n` controllers; `name` keeps their files apart.
+    pub fn start(n: usize, name: &str, seen: &Arc<Mutex<Seen>>) -> Cluster {
+        let users: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
+        let backs: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
+        let service = state_service();
+        let state: Vec<Gate> = (0..n).map(|_| Gate::to(service)).collect();
+        let links: Vec<Vec<Gate>> = (0..n).map(|_| backs.iter().map(|b| Gate::to(*b)).collect()).collect();
+        let cloud = cloud(users.clone(), seen.clone());
+        let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let mut configs = Vec::new();
+        for i in 0..n {
+            let mut text = format!(
+                "node_name = \"n{i}\"\nzone = \"e\"\nclient_listen = \"{}\"\nback = \"{}\"\n",
+                users[i], backs[i]
+            );
+            for j in (0..n).filter(|&j| j != i) {
+                text += &format!(
+                    "[[members]]\nnode_name = \"n{j}\"\nzone = \"e\"\nendpoint = \"{}\"\n",
+                    links[i][j].addr
+                );
+            }
+            text += &format!("[services]\ncloud = \"{cloud}\"\nstate = \"{}\"\n", state[i].addr);
+            text += &format!(
+                "[params]\ninitial_size = {n}\nzones = [\"e\", \"w\"]\ntime_bound_ms = 10.0\n\
+                [[params.teams]]\nname = \"t\"\ncpus_max = 40.0\n\
+                [params.workers]\nreport_s = 0.9\nlease_s = 8.0\ncancel_s = 16.0\n\
+                [params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
+                [params.cloud]\nrps = 30.0\nlist_lag_s = 1.0\n\
+                [params.machine_limits]\ncore_share = 1.0\nram_mb = 200.0\nmax_connections = 500\n"
+            );
+            let path = dir.join(format!("{name}-{i}.toml"));
+            std::fs::write(&path, text).expect("a settings file");
+            configs.push(path);
+        }
+        let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(5)).build();
+        let mut c = Cluster { users, configs, children: (0..n).map(|_| None).collect(), agent, state, links };
+        (0..n).for_each(|i| c.boot(i));
+        c
+    }
+
+    pub fn boot(&mut self, i: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_finchwood"))
+            .arg("--config")
+            .arg(&self.configs[i])
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("a controller");
+        self.children[i] = Some(child);
+    }
+
+    /// Cuts a node off from the state service and the other controllers, both
+    /// ways, or joins it to them again. Users and workers still reach it.
+    pub fn cut(&self, i: usize, cut: bool) {
+        self.state[i].shut(cut);
+        for j in 0..self.users.len() {
+            self.links[i][j].shut(cut);
+            self.links[j][i].shut(cut);
+        }
+    }
+
+    /// The state service answers nobody, or everybody again.
+    pub fn outage(&self, out: bool) {
+        self.state.iter().for_each(|g| g.shut(out));
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.children[i].take() {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+    }
+
+    pub fn call(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        body: Option<Value>,
+    ) -> (u16, Value, Option<String>) {
+        let request = self.agent.request(method, &format!("http://{}{path}", self.users[i]));
+        let answer = match body {
+            Some(b) => request.send_string(&b.to_string()),
+            None => request.call(),
+        };
+        let r = match answer {
+            Ok(r) | Err(ureq::Error::Status(_, r)) => r,
+            Err(_) => return (0, Value::Null, None),
+        };
+        let retry = r.header("Retry-After").map(String::from);
+        (r.status(), serde_json::from_str(&r.into_string().unwrap_or_default()).unwrap_or_default(), retry)
+    }
+
+    /// Repeats a call, as users do, until it is answered as wished.
+    pub fn until(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        body: Option<Value>,
+        ok: impl Fn(u16, &Value) -> bool,
+    ) {
+        let begin = Instant::now();
+        let mut last = (0, Value::Null, None);
+        while begin.elapsed() < PATIENCE {
+            last = self.call(i, method, path, body.clone());
+            if ok(last.0, &last.1) {
+                return;
+            }
+            // Whatever can't be taken now says when to come back.
+            if matches!(last.0, 429 | 503) {
+                assert!(last.2.is_some(), "{method} {path}: {} without Retry-After", last.0);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        panic!("{method} {path}: last answer {last:?}");
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        (0..self.users.len()).for_each(|i| self.kill(i));
+    }
+}
+
+/// A submission.
+pub fn job(id: &str, shape: &str, tasks: u32) -> Value {
+    json!({"id": id, "flock": "f", "nest": "t", "shape": shape, "rank": "prod", "chicks": tasks,
+        "cpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "egg": "i", "size_gb": 1.0, "breeds": null,
+        "grove": null, "one_zone": false, "scatter": shape == "standing", "windfall": false,
+        "guess_s": 1.5, "molt_s": 0.0, "stash_s": 0.0, "dusk_s": null})
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins of the outside systems, written for these tests: a state
 //! service, a cloud and its workers, each as small as the protocol allows.
 
+pub mod cluster;
+
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -20,7 +20,9 @@
 use std::sync::Arc;
 
 const LEASE: f64 = 20.0;
-const NODES: [&str; 3] = ["a", "b", "c"];
+const NODES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// The life of a member's lease, and how long its knowledge entitles it.
+const LIFE: f64 = LEASE * 0.4;
 const TEAM_CPUS: f64 = 14.0;
 
 fn settings() -> Settings {
@@ -98,6 +100,8 @@
     lease_from: f64,
     tasks: BTreeMap<String, (u64, TaskState, Option<String>)>,
     awaiting: Option<u64>,
+    /// Its reports go out, but nothing comes in until then.
+    deaf_until: f64,
     report_due: f64,
 }
 
@@ -161,6 +165,10 @@
 struct Node {
     inc: u64,
     alive: bool,
+    /// When it last read the state service.
+    fresh_at: f64,
+    /// Cut off from the state service and the other controllers until then.
+    cut_until: f64,
     mirror: Mirror,
     seen: usize,
     part: Part,
@@ -192,6 +200,12 @@
     finished: HashMap<Arc<str>, HashSet<u32>>,
     committed: u32,
     cancelled: HashSet<Arc<str>>,
+    /// The state service answers nobody until then.
+    outage_until: f64,
+    /// No more troubles.
+    calm: bool,
+    deleted: u32,
+    isolated: u32,
 }
 
 impl World {
@@ -211,6 +225,10 @@
             finished: HashMap::new(),
             committed: 0,
             cancelled: HashSet::new(),
+            outage_until: 0.0,
+            calm: false,
+            deleted: 0,
+            isolated: 0,
         };
         let kind = MachineType {
             name: "k".into(),
@@ -225,24 +243,8 @@
             zones: vec!["z0".into(), "z1".into()],
         };
         w.put("fw/c", serde_json::to_value(Catalog { types: vec![kind] }).expect("json"));
-        for i in 0..5 {
-            let zone = format!("z{}", i % 2);
-            w.workers.push(Worker {
-                id: format!("m-{i}"),
-                zone: zone.clone(),
-                alive: true,
-                session: 1,
-                ..Worker::default()
-            });
-            let r = RosterRecord {
-                kind: "k".into(),
-                zone: zone.as_str().into(),
-                spot: false,
-                up: true,
-                at_ms: 0,
-                addr: Some(format!("m-{i}").as_str().into()),
-            };
-            w.put(&format!("fw/r/m-{i}"), serde_json::to_value(r).expect("json"));
+        for _ in 0..5 {
+            w.rent();
         }
         for _ in NODES {
             let i = w.nodes.len();
@@ -254,6 +256,41 @@
         w
     }
 
+    /// A new machine, on the roster and up.
+    fn rent(&mut self) {
+        let i = self.workers.len();
+        let (id, zone) = (format!("m-{i}"), format!("z{}", i % 2));
+        let r = RosterRecord {
+            kind: "k".into(),
+            zone: zone.as_str().into(),
+            spot: false,
+            up: true,
+            at_ms: 0,
+            addr: Some(id.as_str().into()),
+        };
+        self.put(&format!("fw/r/{id}"), serde_json::to_value(r).expect("json"));
+        self.workers.push(Worker {
+            id,
+            zone,
+            alive: true,
+            session: 1,
+            lease_from: self.now,
+            ..Worker::default()
+        });
+    }
+
+    /// The leader has a machine deleted: with the answer it is gone, and off
+    /// the roster a little later. Another comes in its place.
+    fn delete(&mut self, id: &str) {
+        let Some(w) = self.workers.iter_mut().find(|w| w.id == id && w.alive) else { return };
+        w.alive = false;
+        w.tasks.clear();
+        self.deleted += 1;
+        self.version += 1;
+        self.log.push(Event::Delete { key: format!("fw/r/{id}"), version: self.version });
+        self.rent();
+    }
+
     fn put(&mut self, key: &str, value: serde_json::Value) {
         self.version += 1;
         self.log.push(Event::Put { key: key.into(), value, version: self.version });
@@ -265,6 +302,7 @@
         self.nodes[i] = fresh_node(i);
         self.nodes[i].alive = true;
         self.nodes[i].inc = self.incs;
+        self.nodes[i].fresh_at = self.now;
         let mut members = self.epoch.members.clone();
         members.insert(NODES[i].into(), self.incs);
         self.next_epoch(members);
@@ -296,6 +334,27 @@
         self.next_epoch(members);
     }
 
+    /// A node that lost its lease while it was cut off comes back with a new
+    /// one, in the same process.
+    fn rejoin(&mut self, i: usize) {
+        self.incs += 1;
+        self.nodes[i].inc = self.incs;
+        let mut members = self.epoch.members.clone();
+        members.insert(NODES[i].into(), self.incs);
+        self.next_epoch(members);
+    }
+
+    /// Whether a node may act: as a controller decides it.
+    fn entitled(&self, i: usize) -> bool {
+        let n = &self.nodes[i];
+        n.alive && self.now - n.fresh_at < finchwood::clock::usable(LIFE)
+    }
+
+    /// Whether a node reaches the other controllers.
+    fn linked(&self, i: usize) -> bool {
+        self.now >= self.nodes[i].cut_until
+    }
+
     fn next_epoch(&mut self, members: BTreeMap<String, u64>) {
         let live =
             members.iter().map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member { inc }, 1))).collect();
@@ -366,8 +425,13 @@
         let now = self.now;
         match p {
             Packet::Report { to, report, sent } => {
+                let entitled = self.entitled(to);
                 let node = &mut self.nodes[to];
-                if !node.alive || node.part.epoch() == 0 {
+                let member =
+                    node.mirror.epoch.as_ref().is_some_and(|e| {
+                        e.members.get(NODES[to]) == Some(&node.inc) && node.part.epoch() == e.n
+                    });
+                if !entitled || !member || node.part.epoch() == 0 {
                     return;
                 }
                 let Some(machine) = self.workers.iter().position(|w| w.id == *report.machine) else { return };
@@ -387,6 +451,7 @@
                 let w = &mut self.workers[machine];
                 // Answers come within four seconds or not at all.
                 if !w.alive
+                    || now < w.deaf_until
                     || w.awaiting != Some(seq)
                     || session != w.session
                     || now - sent > 4.0
@@ -404,7 +469,7 @@
             }
             Packet::Direct { from, inc, machine, body } => {
                 let w = &mut self.workers[machine];
-                if !w.alive {
+                if !w.alive || now < w.deaf_until {
                     return;
                 }
                 let mut started = Vec::new();
@@ -425,6 +490,9 @@
                 }
             }
             Packet::Part { to, report } => {
+                if !self.linked(to) {
+                    return;
+                }
                 let node = &mut self.nodes[to];
                 let leads = node
                     .mirror
@@ -442,6 +510,9 @@
                 }
             }
             Packet::Orders { to, orders } => {
+                if !self.linked(to) {
+                    return;
+                }
                 let node = &mut self.nodes[to];
                 if node.alive {
                     node.part.orders(&orders, &node.mirror, now);
@@ -453,6 +524,7 @@
     fn catch_up(&mut self, i: usize) {
         let now = self.now;
         let node = &mut self.nodes[i];
+        node.fresh_at = now;
         while node.seen < self.log.len() {
             let event = self.log[node.seen].clone();
             node.seen += 1;
@@ -474,6 +546,19 @@
                         node.leader.job_changed(&id, &node.mirror);
                     }
                 }
+                finchwood::jobs::Change::Machines(ids) => {
+                    let e = node.mirror.epoch.clone();
+                    let mine = |id: &str| {
+                        e.as_ref().is_some_and(|e| membership::owner(&e.members, id) == Some(NODES[i]))
+                    };
+                    for id in ids {
+                        match node.mirror.roster.get(&id) {
+                            Some((r, _)) if mine(&id) => node.part.list(&id, &r.clone(), now),
+                            Some(_) => {}
+                            None => node.part.unlist(&id),
+                        }
+                    }
+                }
                 _ => {}
             }
         }
@@ -482,9 +567,15 @@
     fn node_round(&mut self, i: usize) {
         let now = self.now;
         // The mirror lags, but a node whose mirror is old fences itself.
-        if self.nodes[i].alive && self.rng.gen_bool(0.8) {
+        let reads = self.linked(i) && now >= self.outage_until;
+        if self.nodes[i].alive && reads && self.rng.gen_bool(0.8) {
             self.catch_up(i);
         }
+        if !self.entitled(i) {
+            return;
+        }
+        let linked = self.linked(i);
+        let reached = now >= self.outage_until && linked;
         let node = &mut self.nodes[i];
         let Some(e) = node.mirror.epoch.clone() else { return };
         if !node.alive || e.members.get(NODES[i]) != Some(&node.inc) || node.part.epoch() != e.n {
@@ -497,13 +588,25 @@
         let snapshot = node.part.snapshot(&node.mirror, now);
         let mut orders = Vec::new();
         let mut finishes = Vec::new();
+        let mut unreached: Vec<String> = Vec::new();
         if e.leader == NODES[i] {
             node.leader.resolve(&node.mirror);
             node.leader.deal(&node.mirror, now, || true);
-            finishes = node.leader.finishes(now, 9, &node.mirror);
+            if reached {
+                finishes = node.leader.finishes(now, 9, &node.mirror);
+            }
             for f in &finishes {
                 node.leader.finish_answered(&f.job, now, now + 1.0);
             }
+            if reached {
+                unreached = node
+                    .leader
+                    .machines_at(now)
+                    .filter(|m| m.listed && (m.heedless || m.silent_s > LEASE))
+                    .map(|m| m.id.to_string())
+                    .take(1)
+                    .collect();
+            }
             orders = NODES.iter().filter_map(|n| node.leader.orders(n)).collect();
         }
         let inc = node.inc;
@@ -517,15 +620,21 @@
             }
             self.send(Packet::Direct { from: i, inc, machine, body: d.body });
         }
+        for id in unreached {
+            self.delete(&id);
+        }
+        for f in finishes {
+            self.commit(&f.job, &f.tasks);
+        }
+        if !linked {
+            return;
+        }
         let to = NODES.iter().position(|n| *n == e.leader).expect("a leader");
         self.send(Packet::Part { to, report: Box::new(snapshot) });
         for o in orders {
             let to = NODES.iter().position(|n| *n == o.node).expect("a node");
             self.send(Packet::Orders { to, orders: Box::new(o) });
         }
-        for f in finishes {
-            self.commit(&f.job, &f.tasks);
-        }
     }
 
     fn commit(&mut self, job: &Arc<str>, tasks: &[u32]) {
@@ -645,10 +754,19 @@
             for i in 0..self.workers.len() {
                 self.worker_round(i);
             }
-            for i in 0..NODES.len() {
+            for (i, name) in NODES.iter().enumerate() {
                 if self.rng.gen_bool(0.5) {
                     self.node_round(i);
                 }
+                // One that is cut off loses its lease, never early.
+                let n = &self.nodes[i];
+                let past = n.cut_until > now && now - n.fresh_at > LIFE;
+                if past && now >= self.outage_until && self.epoch.members.get(*name) == Some(&n.inc) {
+                    self.shun(i);
+                }
+            }
+            if self.calm || now < self.outage_until {
+                continue;
             }
             if next_job < 60 && self.rng.gen_bool(0.06) {
                 self.accept(next_job);
@@ -658,39 +776,101 @@
                 let n = self.rng.gen_range(0..next_job);
                 self.cancel(n);
             }
-            match down {
-                Some((i, until)) if now >= until => {
-                    if self.nodes[i].alive {
-                        self.readmit(i);
-                    } else {
-                        self.join(i);
-                    }
-                    down = None;
-                }
-                None if self.rng.gen_bool(0.01) => {
-                    let i = self.rng.gen_range(0..NODES.len());
-                    if self.rng.gen_bool(0.4) {
-                        // Back within a moment: the epoch never saw it go.
-                        self.join(i);
-                    } else if self.rng.gen_bool(0.5) {
-                        self.shun(i);
-                        down = Some((i, now + self.rng.gen_range(0.5..15.0)));
-                    } else {
-                        self.leave(i);
-                        down = Some((i, now + self.rng.gen_range(0.5..15.0)));
-                    }
+            self.trouble(&mut down);
+        }
+    }
+
+    /// What fails next, and what comes back.
+    fn trouble(&mut self, down: &mut Option<(usize, f64)>) {
+        let now = self.now;
+        if let Some((i, until)) = *down {
+            if now >= until {
+                self.back(i);
+                *down = None;
+            }
+            return;
+        }
+        if self.rng.gen_bool(0.003) {
+            // Machines that hear nothing, for less or more than their lease.
+            let n = self.workers.len();
+            let i = self.rng.gen_range(n.saturating_sub(5)..n);
+            self.workers[i].deaf_until = now + self.rng.gen_range(5.0..3.0 * LEASE);
+        }
+        if self.rng.gen_bool(0.001) {
+            // Leases have their full time again after it.
+            self.outage_until = now + self.rng.gen_range(1.0..2.0 * LIFE);
+        }
+        if !self.rng.gen_bool(0.01) {
+            return;
+        }
+        let i = self.rng.gen_range(0..NODES.len());
+        match self.rng.gen_range(0..10) {
+            // Back within a moment: the epoch never saw it go.
+            0..=2 => self.join(i),
+            3 => {
+                // Several at once, one of them in the middle of the election.
+                for k in 0..self.rng.gen_range(2..=NODES.len()) {
+                    self.join((i + k) % NODES.len());
                 }
-                _ => {}
+                self.join(i);
+            }
+            4..=5 => {
+                self.shun(i);
+                *down = Some((i, now + self.rng.gen_range(0.5..15.0)));
+            }
+            6..=7 => {
+                // Its workers still reach it; the rest leave it out only when
+                // its lease must have ended.
+                self.isolated += 1;
+                let until = now + self.rng.gen_range(LIFE + 0.5..3.0 * LIFE);
+                self.nodes[i].cut_until = until;
+                *down = Some((i, until));
+            }
+            _ => {
+                self.leave(i);
+                *down = Some((i, now + self.rng.gen_range(0.5..15.0)));
+            }
+        }
+    }
+
+    fn back(&mut self, i: usize) {
+        if self.nodes[i].cut_until > 0.0 {
+            self.nodes[i].cut_until = 0.0;
+            self.rejoin(i);
+        } else if self.nodes[i].alive {
+            self.readmit(i);
+        } else {
+            self.join(i);
+        }
+    }
+
+    /// All troubles end, and all services are withdrawn.
+    fn calm_down(&mut self) {
+        self.calm = true;
+        self.outage_until = 0.0;
+        for (i, name) in NODES.iter().enumerate() {
+            self.nodes[i].cut_until = 0.0;
+            let here = self.epoch.members.get(*name) == Some(&self.nodes[i].inc);
+            if !self.nodes[i].alive || !here {
+                self.join(i);
+            }
+        }
+        self.workers.iter_mut().for_each(|w| w.deaf_until = 0.0);
+        for n in 0..60 {
+            if n % 3 == 0 {
+                self.cancel(n);
             }
         }
     }
 }
 
 fn fresh_node(i: usize) -> Node {
-    let timing = Timing { report_s: 3.0, lease_s: LEASE, member_life_s: LEASE * 0.4 };
+    let timing = Timing { report_s: 3.0, lease_s: LEASE, member_life_s: LIFE };
     Node {
         inc: 0,
         alive: false,
+        fresh_at: 0.0,
+        cut_until: 0.0,
         mirror: Mirror::new(8.0),
         seen: 0,
         part: Part::new(NODES[i], timing, HashMap::new()),
@@ -699,15 +879,31 @@
 }
 
 #[test]
-fn no_interleaving_starts_a_task_twice() {
-    let (mut starts, mut committed) = (0, 0);
-    for seed in 0..60 {
+fn no_interleaving_starts_a_task_twice_and_all_work_is_done_at_last() {
+    let (mut starts, mut committed, mut deleted, mut isolated) = (0, 0, 0, 0);
+    for seed in 0..40 {
         let mut w = World::new(seed);
         w.run(240.0);
+        w.calm_down();
+        w.run(500.0);
+        for (id, s) in &w.specs {
+            let done = w.finished.get(id).map_or(0, HashSet::len);
+            let over = w.cancelled.contains(id) || done as u32 == s.tasks;
+            assert!(over, "seed {seed}: {id} has {done} of {} tasks done long after all troubles", s.tasks);
+        }
+        let gone: HashSet<&str> = w.workers.iter().filter(|w| !w.alive).map(|w| w.id.as_str()).collect();
+        for n in &mut w.nodes {
+            let told = n.part.snapshot(&n.mirror, 500.0);
+            assert!(!told.machines.iter().any(|m| gone.contains(&*m.id)), "a deleted machine is back");
+        }
         starts += w.starts;
         committed += w.committed;
+        deleted += w.deleted;
+        isolated += w.isolated;
     }
     // The world is hostile, but work gets through it.
     assert!(starts > 1000, "only {starts} starts");
     assert!(committed > 500, "only {committed} tasks committed");
+    assert!(deleted > 20, "only {deleted} machines replaced");
+    assert!(isolated > 20, "only {isolated} controllers cut off");
 }
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -425,3 +425,109 @@
     assert!(b.take(1.0, 0.15).is_err(), "the renewal's call is owed");
     assert!(b.take(1.0, 0.25).is_ok());
 }
+
+fn token_of(reply: ReportReply) -> u64 {
+    match reply {
+        ReportReply::Commands { token, .. } => token,
+        ReportReply::Refuse => panic!("refused"),
+    }
+}
+
+/// A copy of an old report may come long after its machine was deleted, to a
+/// controller that never saw the original.
+#[test]
+fn a_late_copy_is_no_sign_of_life_and_brings_no_machine_back() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let mut p = Part::new("a", TIMING, HashMap::new());
+    p.enter(3, 7, &m, 0.0, |_| true);
+    // On the roster and used before: under an older epoch's token it may be
+    // from any time. It is asked, and stays silent.
+    let old = report(1, 90, token(2, 5), &[("wk-1/0", 40, TaskState::Running, None)]);
+    let ReportReply::Commands { commands, .. } = p.report(&old, false, &m, 12.0) else { panic!("refused") };
+    assert!(commands.is_empty());
+    assert_eq!(p.directs(&m, 12.1).len(), 1, "it is asked");
+    let told = p.snapshot(&m, 13.0);
+    assert!(!told.machines[0].heard && told.held.is_empty(), "not alive, and its task not found");
+    assert!(told.quiet[0].silent_s > 12.0 && told.zones_met.is_empty());
+    // Off the roster: nothing comes back, however many copies come.
+    p.unlist(&"m-1".into());
+    let mut gone = mirror(&[("wk-1", Rank::Low, false)]);
+    gone.apply(finchwood::state::Event::Delete { key: "fw/r/m-1".into(), version: 99 });
+    p.report(&report(1, 91, token(2, 5), &[]), false, &gone, 14.0);
+    p.report(&report(1, 92, token(2, 5), &[]), false, &gone, 15.0);
+    assert!(!p.snapshot(&gone, 15.0).machines.iter().any(|v| v.heard || v.listed || v.open));
+    p.tidy(&gone, 14.0 + 21.0);
+    assert_eq!(p.machine_count(), 0);
+}
+
+/// A copy of a report that was taken in already proves and renews nothing.
+#[test]
+fn a_copy_of_a_known_report_is_refused() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, t) = part(&m);
+    let running = report(1, 3, t, &[("wk-1/0", 40, TaskState::Running, None)]);
+    p.report(&running, false, &m, 1.0);
+    // Sent before the task came; it must not count as seen without it.
+    assert_eq!(p.report(&report(1, 2, t + 9, &[]), false, &m, 9.0), ReportReply::Refuse);
+    assert_eq!(p.report(&running, false, &m, 9.0), ReportReply::Refuse);
+    let told = p.snapshot(&m, 9.0);
+    assert_eq!(told.held.len(), 1);
+    assert!(told.quiet[0].silent_s > 7.9, "no sign of life");
+    // Nor does it move the view of the lease: that ends when it ends.
+    p.lapse(1.0 + 20.5);
+    assert_eq!(p.snapshot(&m, 21.5).gone.len(), 1);
+}
+
+/// Reports that arrive from a machine that hears nothing: no new work, and
+/// after a while the leader knows.
+#[test]
+fn a_machine_that_heeds_nothing_is_found_out() {
+    let m = mirror(&[("wk-1", Rank::Low, false)]);
+    let (mut p, t) = part(&m);
+    let ended = [("wk-1/0", 40, TaskState::Ended, Some("stopped"))];
+    // The first answer reaps, under a higher token, which it never shows.
+    let raised = token_of(p.report(&report(1, 3, t, &ended), false, &m, 1.0));
+    assert!(raised > t);
+    for i in 0..4 {
+        let now = 3.0 + 3.0 * f64::from(i);
+        // Through other controllers too: relays do not hide it.
+        p.report(&report(1, 4 + i as u64, t, &ended), i % 2 == 1, &m, now);
+        let v = p.snapshot(&m, now).machines.pop();
+        if i == 1 {
+            assert!(v.is_some_and(|v| !v.open && !v.heedless), "no new work, but not given up");
+        }
+    }
+    let whole = |p: &mut Part, now| {
+        let o = Orders {
+            epoch: 3,
+            node: "a".into(),
+            seq: now as u64 + 100,
+            ack: 0,
+            deals: Vec::new(),
+            recall: Vec::new(),
+            drain: Vec::new(),
+            running: None,
+        };
+        p.orders(&o, &m, now);
+        p.snapshot(&m, now).machines.remove(0)
+    };
+    assert!(whole(&mut p, 13.0).heedless);
+    // Whoever shows the token has heard, and is trusted again.
+    let shown = token_of(p.report(&report(1, 20, t, &ended), false, &m, 13.5));
+    p.report(&report(1, 21, shown, &[]), false, &m, 14.0);
+    let v = whole(&mut p, 14.0);
+    assert!(!v.heedless && v.open);
+}
+
+/// A relayed machine that is told nothing new would look healthy: it is told a
+/// higher token, and so is one whose session rose although it was answered.
+#[test]
+fn a_machine_in_doubt_is_told_a_token_that_it_must_show() {
+    let m = mirror(&[]);
+    let (mut p, t) = part(&m);
+    assert_eq!(token_of(p.report(&report(1, 3, t, &[]), false, &m, 3.0)), t, "no doubt, no test");
+    let tested = token_of(p.report(&report(1, 4, t, &[]), true, &m, 6.0));
+    assert!(tested > t);
+    assert_eq!(token_of(p.report(&report(1, 5, tested, &[]), true, &m, 9.0)), tested, "not all the time");
+    assert!(token_of(p.report(&report(2, 1, tested, &[]), false, &m, 10.0)) > tested);
+}
