--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,12 +18,13 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::state::{self, Budget, Class, Feed, Op, Outcome, Write, Writer};
+use crate::ways::Ways;
 use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use inflight::Serial;
 use leading::Renting;
 use roster::Roster;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use users::Users;
 
@@ -77,9 +78,7 @@
     healthy: HashMap<String, Secs>,
     /// Whom each of the others hears, and when it said so.
     hears: HashMap<String, (Secs, Vec<String>)>,
-    /// Whom this node can't reach directly, and whom each of the others can't.
-    apart: BTreeSet<String>,
-    others_apart: HashMap<String, (Secs, Vec<String>)>,
+    ways: Ways,
     began: Secs,
     epoch_wanted: Option<Secs>,
     epoch_pending: bool,
@@ -145,6 +144,7 @@
             lease_s: settings.params.workers.lease_s,
             member_life_s: settings.member_life_s(),
         };
+        let others = settings.members.iter().map(|m| (m.node_name.clone(), m.zone.clone())).collect();
         Controller {
             part: Part::new(&settings.node_name, timing, settings.start_aims()),
             leader: Leader::new(&settings),
@@ -164,8 +164,7 @@
             running: HashMap::new(),
             healthy: HashMap::new(),
             hears: HashMap::new(),
-            apart: BTreeSet::new(),
-            others_apart: HashMap::new(),
+            ways: Ways::new(&settings.zone, others, report_s * 2.0),
             began: clock::now(),
             epoch_wanted: None,
             epoch_pending: false,
@@ -238,11 +237,7 @@
             Msg::Cloud(answer) => self.cloud_answer(answer, now),
             Msg::Apart(name, apart) => {
                 tracing::info!(name, apart, "the way to another controller changed");
-                if apart {
-                    self.apart.insert(name);
-                } else {
-                    self.apart.remove(&name);
-                }
+                self.ways.reached(&name, !apart);
             }
             Msg::Direct(d) => {
                 let mine = self.part.epoch() > 0;
@@ -352,11 +347,11 @@
                     None => None,
                 };
                 let newest = known.map_or(newest, |p| p.newest.max(newest));
-                let cut = self.cut_from(&report.zone, &o, now);
+                let cut = self.ways.cut(&report.zone, &o, now);
                 let back = cut || tried.is_some() || obeyed && first;
                 // While its zone is known to be apart from its owner's it need
                 // not try, and goes on to one that reaches both.
-                let go_on = if cut && self.apart.contains(&o) { self.between(&o, now) } else { None };
+                let go_on = if cut { self.ways.around(&o, now).map(String::from) } else { None };
                 let passing = Passing { at: now, tried: tried.or(Some(now)), newest, met };
                 self.redirected.insert(report.machine, passing);
                 let to = self.settings.members.iter().find(|m| m.node_name == o).map(|m| m.endpoint);
@@ -375,35 +370,9 @@
         }
     }
 
-    /// Whether a zone is apart from a controller in another one: some
-    /// controller there can't reach it.
-    fn cut_from(&self, zone: &str, owner: &str, now: Secs) -> bool {
-        let recent = self.settings.params.workers.report_s * 2.0;
-        let members = &self.settings.members;
-        if members.iter().any(|m| m.node_name == owner && m.zone == zone) {
-            return false;
-        }
-        let here = self.settings.zone == zone && self.apart.contains(owner);
-        here || members.iter().filter(|m| m.zone == zone).any(|m| {
-            let told = self.others_apart.get(&m.node_name);
-            told.is_some_and(|(t, apart)| now - t < recent && apart.iter().any(|n| n == owner))
-        })
-    }
-
-    /// A controller that reaches `owner` and is reached from here.
-    fn between(&self, owner: &str, now: Secs) -> Option<String> {
-        let recent = self.settings.params.workers.report_s * 2.0;
-        let reaches = |name: &String| {
-            let told = self.others_apart.get(name);
-            told.is_some_and(|(t, apart)| now - t < recent && apart.iter().all(|n| n != owner))
-        };
-        let names = self.settings.members.iter().map(|m| &m.node_name);
-        names.filter(|n| *n != owner && !self.apart.contains(*n)).find(|n| reaches(n)).cloned()
-    }
-
     fn peer(&mut self, e: Envelope, now: Secs) {
         self.hears.insert(e.from.clone(), (now, e.hears.clone()));
-        self.others_apart.insert(e.from.clone(), (now, e.apart.clone()));
+        self.ways.told(&e.from, e.apart.clone(), now);
         if e.fresh {
             self.healthy.insert(e.from.clone(), now);
         }
@@ -450,7 +419,7 @@
             to: to.into(),
             fresh: !self.state_down && self.fresh_at.is_some(),
             hears: self.healthy.keys().cloned().collect(),
-            apart: self.apart.iter().cloned().collect(),
+            apart: self.ways.apart(),
             message,
         });
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod server;
 pub mod settings;
 pub mod state;
+pub mod ways;
 pub mod wire;
--- /dev/null
+++ b/src/ways.rs
@@ -0,0 +1,99 @@
+//! Who reaches whom: which of the controllers can't reach each other, and so
+//! where a worker goes that is not here with its owner. Pure.
+
+use crate::clock::Secs;
+use std::collections::{BTreeSet, HashMap};
+
+/// What is known of the ways between controllers.
+#[derive(Debug, Default)]
+pub struct Ways {
+    /// This controller's zone, and the others with theirs.
+    zone: String,
+    others: Vec<(String, String)>,
+    /// Whom this one can't reach directly.
+    apart: BTreeSet<String>,
+    /// Whom each of the others can't, and when it said so.
+    told: HashMap<String, (Secs, Vec<String>)>,
+    /// How long that counts.
+    recent: Secs,
+}
+
+impl Ways {
+    /// Nobody is known to be apart.
+    pub fn new(zone: &str, others: Vec<(String, String)>, recent: Secs) -> Ways {
+        Ways { zone: zone.into(), others, recent, ..Ways::default() }
+    }
+
+    /// This controller can't reach another one directly, or can again.
+    pub fn reached(&mut self, name: &str, reached: bool) {
+        if reached {
+            self.apart.remove(name);
+        } else {
+            self.apart.insert(name.into());
+        }
+    }
+
+    /// Another controller says whom it can't reach.
+    pub fn told(&mut self, name: &str, apart: Vec<String>, now: Secs) {
+        self.told.insert(name.into(), (now, apart));
+    }
+
+    /// Whom this controller can't reach.
+    pub fn apart(&self) -> Vec<String> {
+        self.apart.iter().cloned().collect()
+    }
+
+    fn says(&self, name: &str, now: Secs) -> Option<&Vec<String>> {
+        self.told.get(name).filter(|(t, _)| now - t < self.recent).map(|(_, apart)| apart)
+    }
+
+    /// Whether a zone is apart from a controller in another one: some
+    /// controller there can't reach it.
+    pub fn cut(&self, zone: &str, owner: &str, now: Secs) -> bool {
+        if self.others.iter().any(|(n, z)| n == owner && z == zone) {
+            return false;
+        }
+        let here = self.zone == zone && self.apart.contains(owner);
+        let there = |name: &String| self.says(name, now).is_some_and(|a| a.iter().any(|n| n == owner));
+        here || self.others.iter().any(|(n, z)| z == zone && there(n))
+    }
+
+    /// Where a worker goes on to that can't reach its owner, when this
+    /// controller can't either: one that reaches the owner and is reached from
+    /// here. None if its report is better passed on.
+    pub fn around(&self, owner: &str, now: Secs) -> Option<&str> {
+        if !self.apart.contains(owner) {
+            return None;
+        }
+        let reaches = |n: &str| self.says(n, now).is_some_and(|a| a.iter().all(|x| x != owner));
+        let names = self.others.iter().map(|(n, _)| n.as_str());
+        names.filter(|n| *n != owner && !self.apart.contains(*n)).find(|n| reaches(n))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A restart of all within a cut: told to go to owners they could not
+    /// reach, workers spent their lease on the way.
+    #[test]
+    fn workers_apart_from_their_owner_go_round() {
+        let others = [("b", "west"), ("c", "north"), ("d", "west")];
+        let others = others.map(|(n, z)| (n.to_string(), z.to_string())).to_vec();
+        let mut ways = Ways::new("east", others, 8.0);
+        assert!(!ways.cut("east", "b", 1.0), "nothing is known");
+        ways.reached("b", false);
+        ways.reached("d", false);
+        assert!(ways.cut("east", "b", 1.0) && !ways.cut("west", "b", 1.0) && !ways.cut("north", "b", 1.0));
+        assert_eq!(ways.around("b", 1.0), None, "nobody has said that it reaches the owner");
+        ways.told("c", vec!["x".into()], 1.0);
+        ways.told("d", vec!["a".into(), "c".into()], 1.0);
+        assert_eq!(ways.around("b", 2.0), Some("c"));
+        assert_eq!(ways.around("c", 2.0), None, "this one reaches it and passes the report on");
+        assert!(ways.cut("west", "c", 2.0), "told by a controller there");
+        assert_eq!((ways.around("b", 10.0), ways.cut("west", "c", 10.0)), (None, false), "long ago");
+        ways.reached("b", true);
+        assert!(!ways.cut("east", "b", 2.0));
+    }
+}
