--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -45,6 +45,7 @@
     /// When the present epoch began to be led.
     led_since: Secs,
     looked_at: Secs,
+    kept_at: Secs,
     told_at: Secs,
 }
 
@@ -73,9 +74,13 @@
             self.send_orders(&part);
         }
         self.commit_finished(now);
-        self.keep_roster(now);
+        let report_s = self.settings.params.workers.report_s;
+        if now - self.renting.kept_at > report_s / 40.0 {
+            self.renting.kept_at = now;
+            self.keep_roster(now);
+        }
         // Looking over the whole fleet takes time in proportion to it.
-        if now - self.renting.looked_at > self.settings.params.workers.report_s / 12.0 {
+        if now - self.renting.looked_at > report_s / 12.0 {
             self.renting.looked_at = now;
             self.rent_and_return(now);
             self.tell_state(now);
@@ -403,6 +408,7 @@
         let sign = |m: MachineNow| {
             let sign = Sign {
                 zone: m.zone.clone(),
+                certain: m.certain,
                 silent_s: m.silent_s,
                 deaf_s: m.deaf_s,
                 reached: self.leader.zone_reached(&m, now),
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -198,7 +198,7 @@
 }
 
 /// How much of the fleet may begin to be emptied in one report interval.
-const EMPTIED_SHARE: f64 = 0.02;
+const EMPTIED_SHARE: f64 = 0.04;
 
 fn price_per_cpu(m: &InUse, catalog: &Catalog) -> f64 {
     let price = |t: &MachineType| if m.offer.2 { t.spot_price } else { t.price };
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -54,6 +54,8 @@
 #[derive(Debug, Clone)]
 pub struct Sign {
     pub zone: Arc<str>,
+    /// What it holds is known.
+    pub certain: bool,
     pub silent_s: f64,
     /// Since when it has not answered when asked, while others of its zone were
     /// reached.
@@ -73,7 +75,8 @@
 pub enum Verdict {
     /// Nothing is wrong with it, or not for long enough.
     Keep,
-    /// Silent, perhaps cut off: kept, but neither idle nor of use.
+    /// Silent, perhaps cut off, or what it holds is not known yet: kept, but
+    /// neither idle nor of use.
     Wait,
     /// To be deleted, which proves that nothing is left of it.
     Replace,
@@ -139,7 +142,9 @@
         };
         if silent_s > limit {
             Verdict::Replace
-        } else if s.silent_s > self.report_s * ALONE_REPORTS {
+        } else if s.silent_s > self.report_s * ALONE_REPORTS || !s.certain {
+            // One that is only just heard again looked idle in that moment, and
+            // was returned with all others of its zone.
             Verdict::Wait
         } else {
             Verdict::Keep
--- a/tests/silence_model.rs
+++ b/tests/silence_model.rs
@@ -86,6 +86,8 @@
             .enumerate()
             .map(|(i, m)| Sign {
                 zone: names[m.zone].clone(),
+                // Its first report after a while may say nothing new.
+                certain: m.heard > 0.0 && now - m.heard >= STEP_S || i % 3 > 0,
                 silent_s: now - m.heard,
                 deaf_s: m.deaf.map(|d| now - d),
                 reached: reached[m.zone][i % OWNERS]
@@ -109,7 +111,7 @@
                 judged.push((i, now));
             }
             // Neither idle nor of use while it shows no sign.
-            assert!(verdict != Verdict::Keep || s.silent_s <= REPORT_S * 2.0);
+            assert!(verdict != Verdict::Keep || s.silent_s <= REPORT_S * 2.0 && s.certain);
         }
         now += STEP_S;
     }
