--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -19,7 +19,7 @@
 const MOST_RENTED: u32 = 50;
 
 /// The share of all replicas that may be moved in a second.
-const MOVED_PER_S: f64 = 1.0 / 1500.0;
+const MOVED_PER_S: f64 = 1.0 / 750.0;
 
 /// The leader's dealings with the cloud.
 #[derive(Debug, Default)]
@@ -328,7 +328,7 @@
                     self.leader.drain.insert(id);
                 }
             }
-            self.move_replicas(&in_use, &catalog, spare, now);
+            self.move_replicas(in_use, &catalog, spare, now);
         } else {
             // There is work for them after all: as many as it needs.
             let mut needed: f64 = self.leader.wants.iter().map(|w| w.ask.cpus * f64::from(w.count)).sum();
@@ -387,16 +387,25 @@
     /// Moves the replicas of a machine that is mostly empty, so that it can be
     /// returned. Each is away for about a second, so that only a small share of
     /// all is moved in any while.
-    fn move_replicas(&mut self, in_use: &[InUse], catalog: &Catalog, spare: f64, now: Secs) {
-        if now < self.renting.move_after || !self.leader.resolved() {
+    fn move_replicas(&mut self, mut in_use: Vec<InUse>, catalog: &Catalog, spare: f64, now: Secs) {
+        if !self.leader.resolved() {
             return;
         }
-        let Some(m) = rent::to_move(in_use, catalog, spare) else { return };
-        tracing::debug!(id = %m.id, cpus = m.stays_cpus, "moving its replicas");
-        let away = m.stays_cpus / self.leader.service_cpus().max(1.0);
-        self.renting.move_after = now + (away / MOVED_PER_S).max(self.settings.params.workers.report_s / 4.0);
-        self.leader.drain.insert(m.id.clone());
-        self.leader.moving.insert(m.id.clone());
+        let report_s = self.settings.params.workers.report_s;
+        let all = self.leader.service_cpus().max(1.0);
+        let mut moved = 0.0;
+        let after = &mut self.renting.move_after;
+        *after = after.max(now - report_s / 12.0);
+        while now >= *after {
+            let Some(m) = rent::to_move(&in_use, catalog, spare + moved) else { return };
+            let (id, cpus) = (m.id.clone(), m.stays_cpus);
+            tracing::debug!(%id, cpus, "moving its replicas");
+            moved += cpus;
+            *after += (cpus / all / MOVED_PER_S).max(report_s / 100.0);
+            in_use.retain(|m| m.id != id);
+            self.leader.drain.insert(id.clone());
+            self.leader.moving.insert(id);
+        }
     }
 
     /// What every machine that was in use shows of itself. One that was in use
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -38,7 +38,8 @@
 /// may take.
 const RELAY_SHARE: f64 = 1.0 / 500.0;
 
-/// The most threads of one pool, however many sockets there are.
+/// The most threads of one pool, and of all relays, however many sockets there
+/// are: a process stays far below the 2,000 that it may have.
 const MOST_THREADS: f64 = 300.0;
 
 /// How long a relayed report may take, in report intervals: its worker waits
@@ -154,11 +155,13 @@
         let report_s = settings.params.workers.report_s;
         let sockets = settings.params.machine_limits.max_connections as f64;
         let share = |of: f64| (sockets * of).clamp(4.0, MOST_THREADS) as usize;
+        let others = settings.members.len().max(1) as f64;
+        let relay_threads = (sockets * RELAY_SHARE).min(MOST_THREADS / others).max(1.0) as usize;
         let tell = move |d| to.send(Msg::Direct(d)).is_ok();
         let directs = DirectPool::new("direct", share(DIRECT_SHARE), report_s / 2.0, tell.clone());
         let doubtful = DirectPool::new("doubtful", share(DOUBTFUL_SHARE), report_s / 2.0, tell);
         let relay = |m: &crate::settings::Member| {
-            (m.node_name.clone(), http::relays(m.endpoint, share(RELAY_SHARE), report_s * RELAY_REPORTS))
+            (m.node_name.clone(), http::relays(m.endpoint, relay_threads, report_s * RELAY_REPORTS))
         };
         let relays = settings.members.iter().map(relay).collect();
         let timing = Timing {
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -26,10 +26,12 @@
     Withdraw(JobId, Reply, Secs),
 }
 
-/// How many may wait for one thing.
-const MOST_WAITING: usize = 4096;
-
 impl Controller {
+    /// How many may wait for one thing: each has a connection.
+    fn most_waiting(&self) -> usize {
+        self.settings.params.machine_limits.max_connections
+    }
+
     /// How long a request may wait before it is given up: a fifth of the time
     /// after which users would.
     fn patience(&self) -> Secs {
@@ -53,7 +55,7 @@
         if let Err(why) = self.can_run(&spec, &catalog) {
             return reply.send(422, error_body(&why));
         }
-        if self.users.submits.len() >= MOST_WAITING {
+        if self.users.submits.len() >= self.most_waiting() {
             return reply.later(429, 2, "too many submissions");
         }
         let record = JobRecord {
@@ -145,7 +147,8 @@
     }
 
     fn wait_fresh(&mut self, read: Read, now: Secs) {
-        let reply_now = self.fresh_at.is_none() || self.state_down || self.users.reads.len() >= MOST_WAITING;
+        let reply_now =
+            self.fresh_at.is_none() || self.state_down || self.users.reads.len() >= self.most_waiting();
         if reply_now {
             return read.into_reply().later(503, 1, "the state service can't be reached");
         }
