--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -413,6 +413,7 @@
     /// died while nobody led.
     fn signs(&self, now: Secs) -> HashMap<MachineId, Sign> {
         let report_s = self.settings.params.workers.report_s;
+        let met = self.leader.met(report_s * 4.0);
         let used = |m: &MachineNow| m.heard || self.mirror.roster.get(&m.id).is_some_and(|(r, _)| r.up);
         let sign = |m: MachineNow| {
             let sign = Sign {
@@ -420,8 +421,8 @@
                 certain: m.certain,
                 silent_s: m.silent_s,
                 deaf_s: m.deaf_s,
-                reached: self.leader.zone_reached(&m, now),
-                met: self.leader.met(&m.id, report_s * 4.0),
+                reached: m.reached,
+                met: met.contains(&m.id),
                 heedless: m.heedless,
                 owner_unheard: m.heedless && self.leader.owner_unheard(&m.id),
             };
--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -140,20 +140,8 @@
     /// transaction holds: the longer it takes, the more goes into the next.
     fn write_pages(&mut self, pages: BTreeMap<Arc<str>, RosterPage>, now: Secs) {
         let most = (self.settings.params.state.txn_ops / 2).max(1);
-        // Those that machines are gone from come first, then who waits longest:
-        // in the order of their names the last would never be written while
-        // there is much to write.
-        self.roster.waiting.retain(|key, _| pages.contains_key(key));
-        let shrinks = |key: &Arc<str>, page: &RosterPage| {
-            self.mirror.pages.get(key).is_some_and(|p| page.machines.len() < p.page.machines.len())
-        };
-        let mut order: Vec<(bool, Secs, Arc<str>, RosterPage)> = Vec::new();
-        for (key, page) in pages {
-            let since = *self.roster.waiting.entry(key.clone()).or_insert(now);
-            order.push((!shrinks(&key, &page), since, key, page));
-        }
-        order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (_, _, key, page) in order {
+        let known = |key: &Arc<str>| self.mirror.pages.get(key).map(|p| p.page.machines.len());
+        for (key, page) in in_turn(pages, known, &mut self.roster.waiting, now) {
             if self.roster.writing.len() >= most {
                 return;
             }
@@ -184,6 +172,8 @@
                 return;
             }
             tracing::debug!(%key, version, left = keep.as_ref().map_or(0, |p| p.machines.len()), "writing a page");
+            // What changes on it from now on waits anew.
+            self.roster.waiting.remove(&key);
             self.roster.writing.sent(serial, key, keep);
         }
     }
@@ -205,3 +195,63 @@
         }
     }
 }
+
+/// Pages in the order in which they are to be written: those that machines are
+/// gone from, as proof may wait for it, then who waits longest. In the order of
+/// their names the last would never be written while there is much to write.
+fn in_turn(
+    pages: BTreeMap<Arc<str>, RosterPage>,
+    known: impl Fn(&Arc<str>) -> Option<usize>,
+    waiting: &mut HashMap<Arc<str>, Secs>,
+    now: Secs,
+) -> Vec<(Arc<str>, RosterPage)> {
+    waiting.retain(|key, _| pages.contains_key(key));
+    let mut order: Vec<(bool, Secs, Arc<str>, RosterPage)> = Vec::new();
+    for (key, page) in pages {
+        let since = *waiting.entry(key.clone()).or_insert(now);
+        let shrinks = known(&key).is_some_and(|n| page.machines.len() < n);
+        order.push((!shrinks, since, key, page));
+    }
+    order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+    order.into_iter().map(|(_, _, key, page)| (key, page)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn page(machines: usize) -> RosterPage {
+        RosterPage {
+            kind: "k".into(),
+            zone: "e".into(),
+            spot: false,
+            at_ms: 0,
+            machines: (0..machines).map(|i| (format!("m-{i}").into(), None)).collect(),
+        }
+    }
+
+    /// Two pages are written at a time, and the first two change all the while.
+    #[test]
+    fn pages_get_their_turn_and_those_that_shrink_go_first() {
+        let mut waiting = HashMap::new();
+        let mut open: BTreeMap<Arc<str>, RosterPage> = BTreeMap::new();
+        let mut written: Vec<Arc<str>> = Vec::new();
+        open.insert("z".into(), page(3));
+        for round in 0..4 {
+            for name in ["a", "b", "c"] {
+                open.insert(name.into(), page(3));
+            }
+            for (key, _) in
+                in_turn(open.clone(), |_| Some(3), &mut waiting, f64::from(round)).into_iter().take(2)
+            {
+                open.remove(&key);
+                waiting.remove(&key);
+                written.push(key);
+            }
+        }
+        assert!(written.iter().any(|k| **k == *"z"), "never written: {written:?}");
+        open.insert("y".into(), page(2));
+        let next = in_turn(open, |_| Some(3), &mut waiting, 9.0);
+        assert_eq!(&*next[0].0, "y", "a machine is gone from it");
+    }
+}
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -81,6 +81,9 @@
     pub silent_s: f64,
     pub deaf_s: Option<f64>,
     pub idle_s: f64,
+    /// How its owner reaches its zone. A report that came through a third
+    /// controller shows nothing of that.
+    pub reached: Option<Reached>,
 }
 
 impl std::ops::Deref for MachineNow<'_> {
@@ -812,7 +815,7 @@
             }
         }
         // Counts for display need not be of this moment.
-        let running = (seq % 4 == 1).then(|| {
+        let running = (seq % 8 == 1).then(|| {
             let running = |e: &Entry| {
                 e.dealt.values().filter(|d| matches!(d.phase, Phase::Running | Phase::Saving)).count() as u32
             };
@@ -853,6 +856,10 @@
                     silent_s: quiet.map_or(0.0, |q| q.silent_s + age),
                     deaf_s: quiet.and_then(|q| q.deaf_s).map(|d| d + age),
                     idle_s: if m.view.tasks == 0 { now - m.idle_since } else { 0.0 },
+                    reached: p
+                        .zones_met
+                        .get(&m.view.zone)
+                        .map(|r| Reached { since_s: r.since_s + age, last_s: r.last_s + age }),
                 }
             })
         })
@@ -863,19 +870,11 @@
         self.parts.values().flat_map(|p| p.machines.values().map(|m| &m.view))
     }
 
-    /// Whether a machine is silent for its owner only: some other controller
-    /// has met its worker within `age`.
-    pub fn met(&self, id: &MachineId, age: Secs) -> bool {
-        self.parts.values().any(|p| p.met.get(id).is_some_and(|&a| a < age))
-    }
-
-    /// How a machine's owner reaches its zone. A report that came through a
-    /// third controller shows nothing of that.
-    pub fn zone_reached(&self, m: &MachineView, now: Secs) -> Option<Reached> {
-        let owner = self.parts.values().find(|p| p.machines.contains_key(&m.id))?;
-        let age = now - owner.heard;
-        let r = owner.zones_met.get(&m.zone)?;
-        Some(Reached { since_s: r.since_s + age, last_s: r.last_s + age })
+    /// Machines that may be silent for their owners only: some other controller
+    /// has met their workers within `age`.
+    pub fn met(&self, age: Secs) -> HashSet<&MachineId> {
+        let all = self.parts.values().flat_map(|p| p.met.iter());
+        all.filter(|(_, &a)| a < age).map(|(id, _)| id).collect()
     }
 
     /// Whether a quarter of the machines of this one's owner heed nothing: then
--- a/src/state.rs
+++ b/src/state.rs
@@ -356,7 +356,9 @@
 /// mirrors of all nodes fresh.
 pub fn poll_gap(settings: &Settings) -> Secs {
     let nodes = (settings.members.len() + 1) as f64;
-    (3.0 * nodes / settings.params.state.rps).max(0.05)
+    // Nobody notices less than that, and each reading takes its time.
+    let least = settings.params.workers.report_s / 50.0;
+    (3.0 * nodes / settings.params.state.rps).max(least)
 }
 
 /// Starts the poller. It reads all keys once, then asks for changes at a
