--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -799,6 +799,16 @@
             let i = self.rng.gen_range(n.saturating_sub(5)..n);
             self.workers[i].deaf_until = now + self.rng.gen_range(5.0..3.0 * LEASE);
         }
+        if self.rng.gen_bool(0.001) {
+            // Many fall together: most of a zone, or half of all.
+            let (until, zone) = (now + self.rng.gen_range(5.0..3.0 * LEASE), self.rng.gen_range(0..3));
+            for (i, w) in self.workers.iter_mut().enumerate() {
+                let falls = if zone == 2 { i % 4 < 2 } else { w.zone == format!("z{zone}") && i % 8 > 1 };
+                if falls {
+                    w.deaf_until = until;
+                }
+            }
+        }
         if self.rng.gen_bool(0.001) {
             // Leases have their full time again after it.
             self.outage_until = now + self.rng.gen_range(1.0..2.0 * LIFE);
