--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1569,7 +1569,7 @@
     /// report again: no new work until it is.
     fn suspect(&self, report_s: Secs, now: Secs) -> bool {
         self.unheeded.as_ref().is_some_and(|u| u.answers >= 2 && now - u.since > report_s * 1.5)
-            || self.unreported.is_some_and(|u| now - u > report_s * MUTE_REPORTS / 2.0)
+            || self.unreported.is_some_and(|u| now - u > report_s * MUTE_REPORTS * 0.75)
     }
 
     /// It answers direct commands but doesn't report: those renew no lease, so
