--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -300,15 +300,19 @@
     let s = spec("wk-1", 1, |_| {});
     let m = mirror(1, &[&s]);
     let mut p = part(&m);
-    let mut t = 0;
-    for i in 1..5u32 {
-        let now = f64::from(i) * 3.0;
-        t = answered(p.report(&report(1, 1, i.into(), t, &[]), false, &m, now)).0;
-        for d in p.directs(&m, now + 0.1) {
-            p.direct_done(&d.machine, &d.body, None, &m, now + 2.0);
+    let (mut t, mut seq) = (0, 0);
+    for step in 0..160u32 {
+        let now = f64::from(step) * 0.1;
+        // Slow to report, within the quarter that intervals vary by.
+        if step % 37 == 0 {
+            seq += 1;
+            t = answered(p.report(&report(1, 1, seq, t, &[]), false, &m, now)).0;
+        }
+        for d in p.directs(&m, now) {
+            p.direct_done(&d.machine, &d.body, None, &m, now + 0.05);
         }
     }
-    let told = p.snapshot(&m, 13.0);
+    let told = p.snapshot(&m, 16.0);
     assert!(told.machines[0].certain, "{:?}", told.machines[0]);
 }
 
