--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -512,3 +512,44 @@
     assert_eq!(on.len(), 2, "it runs again: {on:?}");
     assert!(on.keys().all(|i| i % 2 != home), "in the other zone: {on:?}");
 }
+
+// A team is at its limit when the leader changes, one of its machines can't be
+// asked, and the job that may run there is cancelled: nothing is free before it
+// is proven gone, and that proof comes.
+#[test]
+fn a_team_at_its_limit_gets_nothing_for_a_cancellation_before_proof() {
+    let (old, new) = (spec("wk-1", 4, |_| {}), spec("wk-2", 4, |_| {}));
+    let mut m = mirror(4, &[&old]);
+    let mut accepted: JobRecord = serde_json::from_value(record(&new, false)).expect("a record");
+    accepted.epoch = EPOCH;
+    m.put("fw/j/wk-2", json!(accepted), 150);
+    let mut l = Leader::new(&settings(&[("cpus_max = 400.0", "cpus_max = 8.0")]).expect("settings"));
+    l.enter(
+        &Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() },
+        7,
+        &m,
+    );
+    let mut p = part(&m);
+    let mut tokens: Vec<u64> = (1..=3).map(|i| met(&mut p, &m, i, 0.2)).collect();
+    let mut seq = 2;
+    let mut dealt = |l: &mut Leader, p: &mut Part, m: &Mirror, now: f64| {
+        seq += 1;
+        for i in 1..=3 {
+            tokens[i - 1] = answered(p.report(&report(i, 1, seq, tokens[i - 1], &[]), false, m, now)).0;
+        }
+        p.lapse(now);
+        assert!(l.part_report(p.snapshot(m, now), m, now));
+        l.resolve(m, &|_| false);
+        l.deal(m, now, || true);
+        let o = l.orders("a").expect("orders");
+        p.orders(&Orders { deals: Vec::new(), ..o.clone() }, m, now);
+        o.deals.iter().map(|d| d.tasks.len()).sum::<usize>()
+    };
+    assert_eq!(dealt(&mut l, &mut p, &m, 0.5), 0, "the fourth machine may hold all that is allowed");
+    m.put("fw/j/wk-1", record(&old, true), 200);
+    l.job_changed(&"wk-1".into(), &m);
+    p.job_changed(&"wk-1".into(), &m);
+    assert_eq!(dealt(&mut l, &mut p, &m, 1.0), 0, "a cancellation is no proof");
+    assert_eq!(dealt(&mut l, &mut p, &m, 27.0), 0, "its worker's lease may not be past");
+    assert_eq!(dealt(&mut l, &mut p, &m, 29.0), 4, "it is: the doubt has ended");
+}
