An outage makes no machine look mute

The count now begins anew after a pause in commands, and a report that comes clears it even if it is refused.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -340,6 +340,7 @@
     }
 
     fn report(&mut self, report: Report, raw: Vec<u8>, relayed: bool, reply: Reply, now: Secs) {
+        self.part.came(&report.machine);
         let Some(epoch) = self.my_epoch() else {
             return reply.later(503, 1, "not a member now");
         };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -258,8 +258,15 @@
     unheeded: Option<Unheeded>,
     /// When its token was last raised only to see whether it follows.
     tested: Option<Secs>,
-    /// Since when it has answered direct commands without any report between.
-    unreported: Option<Secs>,
+    /// Direct commands answered without any report between.
+    unreported: Option<Unreported>,
+}
+
+/// For how long a machine has answered direct commands without a report.
+#[derive(Debug, Clone)]
+struct Unreported {
+    since: Secs,
+    last: Secs,
 }
 
 /// An answer that shows no effect.
@@ -469,6 +476,14 @@
         }
     }
 
+    /// A report came, and be it that this node has no right to answer it: its
+    /// machine is not mute.
+    pub fn came(&mut self, id: &MachineId) {
+        if let Some(m) = self.machines.get_mut(id) {
+            m.unreported = None;
+        }
+    }
+
     /// Takes in a worker's report and composes the answer.
     pub fn report(&mut self, r: &Report, relayed: bool, mirror: &Mirror, now: Secs) -> ReportReply {
         if token_epoch(r.token) > self.epoch {
@@ -855,7 +870,7 @@
                 // It has just been reached: what it is told reaches it. That
                 // renews no lease, though: only an answered report does.
                 m.unheeded = None;
-                m.unreported.get_or_insert(now);
+                m.obeyed(report_s, now);
                 if r.token > token(epoch, m.counter) {
                     m.counter = token_counter(r.token) + 1;
                 }
@@ -1569,13 +1584,27 @@
     /// report again: no new work until it is.
     fn suspect(&self, report_s: Secs, now: Secs) -> bool {
         self.unheeded.as_ref().is_some_and(|u| u.answers >= 2 && now - u.since > report_s * 1.5)
-            || self.unreported.is_some_and(|u| now - u > report_s * MUTE_REPORTS * 0.75)
+            || self.mute_for(now) > report_s * MUTE_REPORTS * 0.75
     }
 
     /// It answers direct commands but doesn't report: those renew no lease, so
     /// that what runs there will be killed, and what is started anew as well.
     fn mute(&self, report_s: Secs, now: Secs) -> bool {
-        self.unreported.is_some_and(|u| now - u > report_s * MUTE_REPORTS)
+        self.mute_for(now) > report_s * MUTE_REPORTS
+    }
+
+    fn mute_for(&self, now: Secs) -> Secs {
+        self.unreported.as_ref().map_or(0.0, |u| now - u.since)
+    }
+
+    /// It answered a direct command. Guard: where none was sent for a while, as
+    /// this node had no right to command, reports were refused too, and what
+    /// went before says nothing: an outage made half a fleet look mute.
+    fn obeyed(&mut self, report_s: Secs, now: Secs) {
+        match &mut self.unreported {
+            Some(u) if now - u.last < report_s * MUTE_REPORTS / 1.5 => u.last = now,
+            _ => self.unreported = Some(Unreported { since: now, last: now }),
+        }
     }
 
     /// Its token can't be raised any more: no start there could be proven dead.
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -228,6 +228,32 @@
     assert!(told.machines.iter().all(|v| v.open && !v.heedless));
 }
 
+// In an outage longer than that nobody may command or answer: whoever obeyed just
+// before it and just after it is not mute, and neither is one that was refused.
+#[test]
+fn an_outage_makes_no_machine_look_mute() {
+    let s = spec("wk-1", 1, |_| {});
+    let m = mirror(1, &[&s]);
+    let mut p = part(&m);
+    let t = met(&mut p, &m, 1, 0.2);
+    let mut seq = 2;
+    let mut obeys = |p: &mut Part, now: f64| {
+        for d in p.directs(&m, now) {
+            seq += 1;
+            p.direct_done(&d.machine, &d.body, Some(&report(1, 1, seq, t, &[])), &m, now);
+        }
+        p.snapshot(&m, now).machines.iter().any(|v| v.heedless)
+    };
+    assert!(!obeys(&mut p, 5.0));
+    assert!(!obeys(&mut p, 65.0), "nothing was sent to it for a minute");
+    let mute = (0..24).any(|i| {
+        // Its reports come, and are refused.
+        p.came(&"m-1".into());
+        obeys(&mut p, 66.0 + f64::from(i))
+    });
+    assert!(!mute);
+}
+
 // The last task's end is reported by a part that hasn't heard of the
 // cancellation, to a leader that has. Broke `went_back`: the user had been told
 // `cancelled`, and then the job was committed as done.
