--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -89,7 +89,7 @@
                     Answer::RentRefused(request)
                 }
                 Err(CallError::Status(429, _)) => {
-                    bucket.empty(clock::now());
+                    bucket.refused(clock::now());
                     Answer::RentUnknown(request)
                 }
                 Err(_) => Answer::RentUnknown(request),
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -6,13 +6,14 @@
 use crate::clock::{self, Secs};
 use crate::cloud;
 use crate::deal::MachineNow;
-use crate::jobs::{chunk_key, job_key, JobRecord, RosterRecord, CATALOG_KEY};
+use crate::finished::{chunks_covering, tasks_per_chunk};
+use crate::jobs::{job_key, JobRecord, RosterRecord, CATALOG_KEY};
 use crate::rent::{self, Booting, InUse, Offer, LEAST_CHARGE_S};
 use crate::settings::Workers;
 use crate::silence::{Judge, Sign, Verdict};
 use crate::state::{Class, Op, Outcome, Write, BULK_SHARE};
 use crate::wire::{Catalog, JobId, Listed, MachineId, Rank, RentRequest, Shape};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The most machines that one request may name.
@@ -106,7 +107,8 @@
     fn commit_finished(&mut self, now: Secs) {
         // Few at a time: they are paced by the write rate, and a job's end
         // must not wait behind the progress of others.
-        let most = (self.settings.params.state.write_rps * BULK_SHARE / 2.0).max(2.0) as usize;
+        let limits = self.settings.params.state.clone();
+        let most = (limits.write_rps * BULK_SHARE / 2.0).max(2.0) as usize;
         let room = most.saturating_sub(self.renting.finishing.len());
         for f in self.leader.finishes(now, room, &self.mirror) {
             let Some(job) = self.mirror.jobs.get(&f.job).filter(|j| j.live()) else {
@@ -126,21 +128,18 @@
                     value: serde_json::to_value(&record).unwrap_or_default(),
                     lease: None,
                 });
-                let room = self.settings.params.state.txn_ops.saturating_sub(1);
-                for &chunk in job.chunks.keys().take(room) {
-                    ops.push(Op::Delete { key: chunk_key(&f.job, chunk) });
+                let room = limits.lowest_txn_ops().saturating_sub(1);
+                for chunk in job.chunks.keys().take(room) {
+                    ops.push(Op::Delete { key: chunk.key(&f.job) });
                 }
             } else {
-                let size = self.mirror.chunk;
-                let chunks: BTreeSet<u32> = f.tasks.iter().map(|i| i / size).collect();
-                for c in chunks.into_iter().take(self.settings.params.state.txn_ops) {
-                    let len = size.min(job.record.tasks - c * size);
-                    conditions.push((chunk_key(&f.job, c), job.chunks.get(&c).copied().unwrap_or(0)));
-                    ops.push(Op::Put {
-                        key: chunk_key(&f.job, c),
-                        value: all.hex(c * size, len).into(),
-                        lease: None,
-                    });
+                let per_chunk = tasks_per_chunk(limits.lowest_value_kb());
+                let ranges = chunks_covering(&f.tasks, job.record.tasks, per_chunk);
+                for range in ranges.into_iter().take(limits.lowest_txn_ops()) {
+                    let key = range.chunk.key(&f.job);
+                    conditions.push((key.clone(), job.chunks.get(&range.chunk).copied().unwrap_or(0)));
+                    let value = all.hex(range.first, range.len).into();
+                    ops.push(Op::Put { key, value, lease: None });
                 }
             }
             let serial = self.renting.finishing.next();
--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -12,8 +12,14 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// Bytes that a machine takes on a page, with room to spare.
-const MACHINE_BYTES: f64 = 128.0;
+/// Bytes that a machine takes on a page, with room to spare for its address.
+const MACHINE_BYTES: usize = 40;
+
+/// Bytes that a page takes beside its machines, with room to spare.
+const PAGE_BYTES: usize = 160;
+
+/// The largest page, whatever the limits are: it is written anew with every change.
+const LARGEST_PAGE_BYTES: usize = 16 * 1024;
 
 /// What the leader is writing to the roster.
 #[derive(Debug, Default)]
@@ -38,8 +44,8 @@
 impl Controller {
     /// How many machines a page may hold.
     pub(super) fn page_size(&self) -> usize {
-        let bytes = self.settings.params.state.value_kb.min(32.0) * 1024.0;
-        ((bytes / MACHINE_BYTES) as usize).max(1)
+        let bytes = self.settings.params.state.lowest_value_bytes().min(LARGEST_PAGE_BYTES);
+        (bytes.saturating_sub(PAGE_BYTES) / MACHINE_BYTES).max(1)
     }
 
     /// Puts machines of one kind on their way to the roster.
@@ -130,16 +136,52 @@
                 }
             }
         }
-        self.write_pages(pages, now);
+        let copied = self.split_pages(&mut pages);
+        self.write_pages(pages, &copied, now);
         let roster = &self.mirror.roster;
         let forget = self.settings.params.cloud.list_lag_s * 4.0 + self.settings.params.workers.lease_s;
         self.renting.deleted.retain(|id, t| now - *t < forget || roster.contains_key(id));
     }
 
+    /// Pages that are longer than the state service will take are replaced by
+    /// several: first copies of their pieces are written, and once all are there,
+    /// the page is deleted. Returns, for each page to be deleted, the versions
+    /// of its copies, under which alone it may go.
+    ///
+    /// Guard: production's leader may write to the old page meanwhile. A copy
+    /// that isn't the same any more is written again before anything is deleted.
+    fn split_pages(&self, pages: &mut BTreeMap<Arc<str>, RosterPage>) -> PageCopies {
+        let limit = self.settings.params.state.lowest_value_bytes();
+        let stored = |key: &Arc<str>| self.mirror.pages.get(key);
+        let pieces_of = |key: &Arc<str>, page: &RosterPage| pieces(key, page, self.page_size());
+        let mut long: BTreeMap<Arc<str>, RosterPage> = BTreeMap::new();
+        for (key, stored) in &self.mirror.pages {
+            let page = pages.get(key).unwrap_or(&stored.page);
+            if is_long(page, limit) {
+                long.insert(key.clone(), page.clone());
+            }
+        }
+        let mut copies = PageCopies::new();
+        for (key, mut page) in long {
+            let copied: Vec<(Arc<str>, RosterPage)> = pieces_of(&key, &page);
+            pages.remove(&key);
+            let same = |(k, p): &(Arc<str>, RosterPage)| stored(k).is_some_and(|s| s.page == *p);
+            if copied.iter().all(same) {
+                let versions = copied.iter().filter_map(|(k, _)| Some((k.to_string(), stored(k)?.version)));
+                copies.insert(key.clone(), versions.collect());
+                page.machines.clear();
+                pages.insert(key, page);
+            } else {
+                pages.extend(copied);
+            }
+        }
+        copies
+    }
+
     /// Writes pages that have no write under way, as many at a time as half a
     /// transaction holds: the longer it takes, the more goes into the next.
-    fn write_pages(&mut self, pages: BTreeMap<Arc<str>, RosterPage>, now: Secs) {
-        let most = (self.settings.params.state.txn_ops / 2).max(1);
+    fn write_pages(&mut self, pages: BTreeMap<Arc<str>, RosterPage>, copies: &PageCopies, now: Secs) {
+        let most = (self.settings.params.state.lowest_txn_ops() / 2).max(2);
         let known = |key: &Arc<str>| self.mirror.pages.get(key).map(|p| p.page.machines.len());
         for (key, page) in in_turn(pages, known, &mut self.roster.waiting, now) {
             if self.roster.writing.len() >= most {
@@ -162,8 +204,10 @@
                 None => Op::Delete { key: key.to_string() },
             };
             let serial = self.roster.writing.next();
+            let mut conditions = vec![(key.to_string(), version)];
+            conditions.extend(copies.get(&key).into_iter().flatten().cloned());
             let write = Write {
-                conditions: vec![(key.to_string(), version)],
+                conditions,
                 ops: vec![op],
                 deadline: now + 2.0,
                 tag: Tag::Roster(serial),
@@ -196,6 +240,27 @@
     }
 }
 
+/// For each page that its copies replace, their keys and versions.
+type PageCopies = BTreeMap<Arc<str>, Vec<(String, u64)>>;
+
+/// Whether a page is longer than a value of the state service may be.
+fn is_long(page: &RosterPage, limit: usize) -> bool {
+    // The exact length takes time, and most pages are far below the limit.
+    page.machines.len() > 1
+        && PAGE_BYTES + page.machines.len() * MACHINE_BYTES > limit
+        && serde_json::to_vec(page).map_or(0, |bytes| bytes.len()) > limit
+}
+
+/// A page's machines on pages of at most `size`.
+fn pieces(key: &Arc<str>, page: &RosterPage, size: usize) -> Vec<(Arc<str>, RosterPage)> {
+    let machines: Vec<_> = page.machines.iter().collect();
+    let piece = |(number, machines): (usize, &[(&MachineId, &Option<Arc<str>>)])| {
+        let machines = machines.iter().map(|(id, addr)| ((*id).clone(), (*addr).clone())).collect();
+        (format!("{key}.{number}").into(), RosterPage { machines, ..page.clone() })
+    };
+    machines.chunks(size).enumerate().map(piece).collect()
+}
+
 /// Pages in the order in which they are to be written: those that machines are
 /// gone from, as proof may wait for it, then who waits longest. In the order of
 /// their names the last would never be written while there is much to write.
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -12,6 +12,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Bytes that a cancellation adds to a job's record, with room to spare.
+const CANCELLED_BYTES: usize = 48;
+
 /// Requests that wait.
 #[derive(Default)]
 pub(crate) struct Users {
@@ -73,6 +76,13 @@
             cancelled_at_ms: None,
         };
         let value = serde_json::to_value(&record).unwrap_or_default();
+        // Guard: a record that the state service doesn't take, or will not once
+        // it is cancelled or the limits are lower, could never be kept.
+        let size = value.to_string().len() + CANCELLED_BYTES;
+        if size > self.settings.params.state.lowest_value_bytes() {
+            let why = "its description is longer than can be stored".into();
+            return self.wait_fresh(Read::Unfit(id, why, reply), now);
+        }
         let write = Write {
             conditions: vec![(job_key(&id), 0)],
             ops: vec![Op::Put { key: job_key(&id), value, lease: None }],
@@ -126,7 +136,7 @@
                     self.query(id.clone(), reply, now);
                 }
             }
-            Outcome::Refused | Outcome::TooMuch | Outcome::Unknown => {
+            Outcome::Refused | Outcome::Invalid | Outcome::TooMuch | Outcome::Unknown => {
                 for reply in replies {
                     reply.later(503, 1, "not committed");
                 }
@@ -208,7 +218,7 @@
                     self.wait_fresh(Read::Withdraw(id.clone(), reply, until), now);
                 }
             }
-            Outcome::Refused | Outcome::TooMuch | Outcome::Unknown => {
+            Outcome::Refused | Outcome::Invalid | Outcome::TooMuch | Outcome::Unknown => {
                 for reply in replies {
                     reply.later(503, 1, "not committed");
                 }
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -7,7 +7,8 @@
 
 use crate::clock::{self, Secs};
 use crate::fleet::{Deal, Leave, MachineView, Orders, PartReport, Phase, Quiet};
-use crate::jobs::{Bits, Epoch, Mirror};
+use crate::finished::Bits;
+use crate::jobs::{Epoch, Mirror};
 use crate::place;
 use crate::rent::Want;
 use crate::rooms::{Names, Rooms, Slot, Wish};
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -5,10 +5,11 @@
 //! | `fw/epoch` | [`Epoch`]: live members, leader |
 //! | `fw/m/NAME` | [`Member`], attached to the member's lease |
 //! | `fw/j/ID` | [`JobRecord`] |
-//! | `fw/f/ID/N` | finished tasks of the N-th chunk, a bitmap in hex |
+//! | `fw/f/ID/CHUNK` | finished tasks of a [`Chunk`], a bitmap in hex |
 //! | `fw/r/PAGE` | [`RosterPage`]: the machines of a rental, or [`RosterRecord`] of one (as before 0.2) |
 //! | `fw/c` | the cloud's catalogue |
 
+use crate::finished::{tasks_per_chunk, Bits, Chunk};
 use crate::state::{Entry, Event};
 use crate::wire::{Catalog, JobId, JobSpec, MachineId};
 use serde::{Deserialize, Serialize};
@@ -118,76 +119,6 @@
     pub version: u64,
 }
 
-/// A growing set of task numbers.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Bits {
-    words: Vec<u64>,
-    count: u32,
-}
-
-impl Bits {
-    /// Whether `i` is in.
-    pub fn has(&self, i: u32) -> bool {
-        self.words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
-    }
-    /// Puts `i` in; false if it was.
-    pub fn add(&mut self, i: u32) -> bool {
-        if self.has(i) {
-            return false;
-        }
-        let word = i as usize / 64;
-        if self.words.len() <= word {
-            self.words.resize(word + 1, 0);
-        }
-        self.words[word] |= 1 << (i % 64);
-        self.count += 1;
-        true
-    }
-    /// Takes `i` out; false if it wasn't in.
-    pub fn remove(&mut self, i: u32) -> bool {
-        if !self.has(i) {
-            return false;
-        }
-        self.words[i as usize / 64] &= !(1 << (i % 64));
-        self.count -= 1;
-        true
-    }
-    /// How many are in.
-    pub fn len(&self) -> u32 {
-        self.count
-    }
-    /// Whether none is in.
-    pub fn is_empty(&self) -> bool {
-        self.count == 0
-    }
-    /// All that are in, in order.
-    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
-        self.words.iter().enumerate().flat_map(|(w, &bits)| {
-            (0..64u32).filter(move |b| bits >> b & 1 == 1).map(move |b| w as u32 * 64 + b)
-        })
-    }
-    /// The part from `from` on, `len` long, in hex digits of four tasks each.
-    pub fn hex(&self, from: u32, len: u32) -> String {
-        (0..len.div_ceil(4))
-            .map(|d| {
-                let digit = (0..4).fold(0u32, |acc, b| {
-                    acc | (u32::from(d * 4 + b < len && self.has(from + d * 4 + b)) << b)
-                });
-                char::from_digit(digit, 16).unwrap_or('0')
-            })
-            .collect()
-    }
-    /// Adds what [`Bits::hex`] wrote.
-    pub fn add_hex(&mut self, from: u32, text: &str) {
-        for (d, c) in text.chars().enumerate() {
-            let digit = c.to_digit(16).unwrap_or(0);
-            for b in (0..4).filter(|b| digit >> b & 1 == 1) {
-                self.add(from + d as u32 * 4 + b);
-            }
-        }
-    }
-}
-
 /// A job as the mirror has it.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -195,7 +126,7 @@
     pub version: u64,
     pub finished: Bits,
     /// Versions of the chunks of finished tasks.
-    pub chunks: BTreeMap<u32, u64>,
+    pub chunks: BTreeMap<Chunk, u64>,
 }
 
 impl Job {
@@ -230,24 +161,14 @@
     gone_pages: HashMap<Arc<str>, u64>,
     pub catalog: Option<Arc<Catalog>>,
     pub catalog_version: u64,
-    /// Tasks per chunk of finished ones.
-    pub chunk: u32,
-}
-
-/// How many tasks one chunk of finished ones covers: its hex digits take at
-/// most half of a value.
-pub fn chunk_tasks(value_kb: f64) -> u32 {
-    ((value_kb * 2048.0) as u32 / 4).max(1) * 4
+    /// Tasks of each numbered chunk, as production counts them.
+    tasks_per_numbered_chunk: u32,
 }
 
 /// The key of a job's record.
 pub fn job_key(id: &str) -> String {
     format!("fw/j/{id}")
 }
-/// The key of a chunk of a job's finished tasks.
-pub fn chunk_key(id: &str, chunk: u32) -> String {
-    format!("fw/f/{id}/{chunk}")
-}
 /// The key of a page of the roster.
 pub fn page_key(name: &str) -> String {
     format!("fw/r/{name}")
@@ -260,12 +181,13 @@
 impl Mirror {
     /// An empty mirror.
     pub fn new(value_kb: f64) -> Mirror {
-        Mirror { chunk: chunk_tasks(value_kb), ..Mirror::default() }
+        Mirror { tasks_per_numbered_chunk: tasks_per_chunk(value_kb), ..Mirror::default() }
     }
 
     /// Takes a full reading in place of everything.
     pub fn load(&mut self, entries: Vec<Entry>) {
-        *self = Mirror { chunk: self.chunk, ..Mirror::default() };
+        let tasks_per_numbered_chunk = self.tasks_per_numbered_chunk;
+        *self = Mirror { tasks_per_numbered_chunk, ..Mirror::default() };
         let (chunks, rest): (Vec<_>, Vec<_>) = entries.into_iter().partition(|e| e.key.starts_with("fw/f/"));
         for e in rest.into_iter().chain(chunks) {
             self.put(&e.key, e.value, e.version);
@@ -339,15 +261,15 @@
                 Some(Change::Job(id))
             }
             ("f", id, Some(chunk)) => {
-                let chunk: u32 = chunk.parse().ok()?;
+                let chunk = Chunk::parse(chunk)?;
+                let first = chunk.first_task(self.tasks_per_numbered_chunk)?;
                 let text: String = serde_json::from_value(value).ok()?;
-                let size = self.chunk;
                 let job = self.jobs.get_mut(id)?;
                 if job.record.done || version <= job.chunks.get(&chunk).copied().unwrap_or(0) {
                     return Some(Change::Nothing);
                 }
                 job.chunks.insert(chunk, version);
-                job.finished.add_hex(chunk.checked_mul(size)?, &text);
+                job.finished.add_hex(first, &text);
                 Some(Change::Job(id.into()))
             }
             ("r", name, None) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cloud;
 pub mod controller;
 pub mod deal;
+pub mod finished;
 pub mod fleet;
 mod held;
 pub mod http;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,23 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    /// How long the tasks of a gang wait for each other before they give up.
+    #[serde(default = "default_gang_wait_s")]
+    pub gang_wait_s: f64,
+    /// How soon the tasks of a gang notice that one of them is gone, and within
+    /// what time all must be told to stop.
+    #[serde(default = "default_gang_peer_s")]
+    pub gang_peer_s: f64,
+}
+
+/// The wait of gangs in settings of before there were gangs.
+fn default_gang_wait_s() -> f64 {
+    45.0
+}
+
+/// The notice of a lost task in settings of before there were gangs.
+fn default_gang_peer_s() -> f64 {
+    4.0
 }
 
 /// Limits of the state service.
@@ -129,6 +146,43 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// The limits that it will have from some later moment on, which nobody announces.
+    #[serde(default)]
+    pub next: NextStateLimits,
+}
+
+/// Limits to come; what is missing stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextStateLimits {
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The size of a value that is within the limits of now and of later: what is
+    /// written meets both from the start, so that the moment need not be noticed.
+    pub fn lowest_value_kb(&self) -> f64 {
+        self.next.value_kb.unwrap_or(f64::INFINITY).min(self.value_kb)
+    }
+
+    /// [`StateLimits::lowest_value_kb`] in whole bytes.
+    pub fn lowest_value_bytes(&self) -> usize {
+        (self.lowest_value_kb() * 1024.0) as usize
+    }
+
+    /// The number of puts and deletes in a transaction that is within both limits.
+    pub fn lowest_txn_ops(&self) -> usize {
+        self.next.txn_ops.unwrap_or(usize::MAX).min(self.txn_ops)
+    }
+
+    /// The lower of both write rates, down to which refusals slow the writers.
+    pub fn lowest_write_rps(&self) -> f64 {
+        self.next.write_rps.unwrap_or(f64::INFINITY).min(self.write_rps)
+    }
 }
 
 /// Limits of the cloud interface.
@@ -170,6 +224,8 @@
             ("params.workers.report_s", p.workers.report_s),
             ("params.workers.lease_s", p.workers.lease_s),
             ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
             ("params.state.rps", p.state.rps),
             ("params.state.write_rps", p.state.write_rps),
             ("params.state.value_kb", p.state.value_kb),
@@ -180,7 +236,14 @@
             ("params.machine_limits.max_connections", p.machine_limits.max_connections as f64),
             ("params.initial_size", p.initial_size as f64),
         ];
-        for (field, value) in positive {
+        let next = &p.state.next;
+        let next = [
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
+            ("params.state.next.txn_ops", next.txn_ops.map(|n| n as f64)),
+        ];
+        let next = next.into_iter().filter_map(|(field, value)| Some((field, value?)));
+        for (field, value) in positive.into_iter().chain(next) {
             if !value.is_finite() || value <= 0.0 {
                 return senseless(field, format!("{value} is not above zero"));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     Refused,
     /// Certainly not executed, since more was asked than the service allows.
     TooMuch,
+    /// Certainly not executed, as some part of it is malformed or over a limit.
+    Invalid,
     /// It may have been executed, or may yet be.
     Unknown,
 }
@@ -123,17 +125,37 @@
 #[derive(Debug, Clone)]
 pub struct Bucket {
     rate: f64,
+    /// The rate that it began with, to which it returns.
+    full_rate: f64,
+    /// The rate below which refusals don't bring it.
+    least_rate: f64,
     size: f64,
     level: f64,
     at: Secs,
 }
 
+/// What a refusal leaves of a bucket's rate.
+const RATE_AFTER_REFUSAL: f64 = 0.9;
+
+/// How long a rate takes to rise from its least to its full again, in seconds.
+const RATE_RETURNS_S: Secs = 60.0;
+
 impl Bucket {
     /// A full bucket.
     pub fn new(rate: f64, size: f64, now: Secs) -> Bucket {
-        Bucket { rate, size, level: size, at: now }
+        Bucket { rate, full_rate: rate, least_rate: rate, size, level: size, at: now }
+    }
+    /// The same, with a rate that refusals may bring down to `least_rate`.
+    pub fn with_least(self, least_rate: f64) -> Bucket {
+        Bucket { least_rate: least_rate.min(self.rate), ..self }
+    }
+    /// The present rate.
+    pub fn rate(&self) -> f64 {
+        self.rate
     }
     fn refill(&mut self, now: Secs) {
+        let risen = (self.full_rate - self.least_rate) / RATE_RETURNS_S * (now - self.at).max(0.0);
+        self.rate = (self.rate + risen).min(self.full_rate);
         self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.size);
         self.at = now;
     }
@@ -157,10 +179,11 @@
         self.level -= n;
         (-self.level / self.rate).max(0.0)
     }
-    /// The service said it was too much: start from nothing.
-    pub fn empty(&mut self, now: Secs) {
+    /// The service said it was too much: start from nothing, and more slowly.
+    pub fn refused(&mut self, now: Secs) {
         self.refill(now);
         self.level = self.level.min(0.0);
+        self.rate = (self.rate * RATE_AFTER_REFUSAL).max(self.least_rate);
     }
 }
 
@@ -203,11 +226,15 @@
         let now = clock::now();
         let n = (settings.members.len() + 1) as f64;
         let s = &settings.params.state;
-        let bucket = |rate: f64| Arc::new(Mutex::new(Bucket::new(rate, rate.max(1.0), now)));
+        let bucket = |rate: f64, least: f64| {
+            let bucket = Bucket::new(rate, rate.max(1.0), now).with_least(least);
+            Arc::new(Mutex::new(bucket))
+        };
+        let writes = |class: Class| bucket(s.write_rps * class.share(), s.lowest_write_rps() * class.share());
         Budget {
-            calls: bucket(s.rps / n),
-            urgent: bucket(s.write_rps * Class::Urgent.share()),
-            bulk: bucket(s.write_rps * Class::Bulk.share()),
+            calls: bucket(s.rps / n, s.rps / n),
+            urgent: writes(Class::Urgent),
+            bulk: writes(Class::Bulk),
         }
     }
 
@@ -247,7 +274,7 @@
     /// The service refused for rate: the bucket starts anew.
     pub fn too_much(&self, class: Class) {
         let now = clock::now();
-        Self::lock(self.writes(class)).empty(now);
+        Self::lock(self.writes(class)).refused(now);
     }
 }
 
@@ -319,10 +346,11 @@
                     tracing::warn!(code, %v, "state service refused a transaction");
                 }
                 // Only these say that it was not executed.
-                if code != 503 && code != 400 {
-                    return Outcome::Unknown;
+                match code {
+                    503 => Outcome::Refused,
+                    400 => Outcome::Invalid,
+                    _ => Outcome::Unknown,
                 }
-                Outcome::Refused
             }
             Err(CallError::Silent) => Outcome::Unknown,
         }
@@ -462,7 +490,7 @@
                 let (inbox, budget, tell) = (inbox.clone(), budget.clone(), tell.clone());
                 // A batch waits for as many writes as it holds.
                 let rate = settings.params.state.write_rps * class.share();
-                let most = settings.params.state.txn_ops.min((rate * BATCH_S).ceil() as usize).max(1);
+                let most = settings.params.state.lowest_txn_ops().min((rate * BATCH_S).ceil() as usize).max(1);
                 spawn(&format!("state-{class:?}-{lane}"), move || {
                     let mut left: Option<Write<T>> = None;
                     loop {
@@ -562,6 +590,14 @@
                     return;
                 }
             }
+            // Guard: one write that the service doesn't take must not be given up
+            // together with those that only shared its transaction, again and again.
+            Outcome::Invalid if batch.len() > 1 => {
+                for write in batch {
+                    commit_batch(store, budget, class, vec![write], tell);
+                }
+                return;
+            }
             // Certainly not executed: again within the writes' deadlines.
             Outcome::TooMuch => {
                 budget.too_much(class);
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -710,7 +710,7 @@
                 self.committed += 1;
             }
         }
-        let mut bits = finchwood::jobs::Bits::default();
+        let mut bits = finchwood::finished::Bits::default();
         for &t in done.iter() {
             bits.add(t);
         }
