--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -70,6 +70,7 @@
     pub(super) fn lead(&mut self, now: Secs, end: Secs) {
         let deleted = &self.renting.deleted;
         self.leader.resolve(&self.mirror, &|id| deleted.contains_key(id));
+        self.leader.run_gangs(self.mirror.all_run_gangs());
         let touched = self.leader.deal(&self.mirror, now, || clock::now() < end);
         for part in touched {
             self.send_orders(&part);
--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -206,12 +206,7 @@
             let serial = self.roster.writing.next();
             let mut conditions = vec![(key.to_string(), version)];
             conditions.extend(copies.get(&key).into_iter().flatten().cloned());
-            let write = Write {
-                conditions,
-                ops: vec![op],
-                deadline: now + 2.0,
-                tag: Tag::Roster(serial),
-            };
+            let write = Write { conditions, ops: vec![op], deadline: now + 2.0, tag: Tag::Roster(serial) };
             if self.writer.send(Class::Bulk, write).is_err() {
                 return;
             }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -15,6 +15,9 @@
 /// Bytes that a cancellation adds to a job's record, with room to spare.
 const CANCELLED_BYTES: usize = 48;
 
+/// When to come back with what needs all controllers to be upgraded, in seconds.
+const UPGRADE_RETRY_S: u32 = 5;
+
 /// Requests that wait.
 #[derive(Default)]
 pub(crate) struct Users {
@@ -63,6 +66,10 @@
             // accepted a moment ago, whatever this body says.
             return self.wait_fresh(Read::Unfit(id, why, reply), now);
         }
+        // Guard: a version without gangs would start their tasks one by one.
+        if spec.shape == Shape::Gang && !self.mirror.all_run_gangs() {
+            return reply.later(503, UPGRADE_RETRY_S, "not all controllers run gangs yet");
+        }
         if self.users.submits.len() >= self.most_waiting() {
             return reply.later(429, 2, "too many submissions");
         }
--- a/src/deal.rs
+++ b/src/deal.rs
@@ -5,9 +5,11 @@
 //! dealt (one part answers for it), or unknown (since the epoch began nobody
 //! has proven where it is). Only free tasks are dealt.
 
+mod gang;
+
 use crate::clock::{self, Secs};
-use crate::fleet::{Deal, Leave, MachineView, Orders, PartReport, Phase, Quiet};
 use crate::finished::Bits;
+use crate::fleet::{Deal, Leave, MachineView, Orders, PartReport, Phase, Quiet};
 use crate::jobs::{Epoch, Mirror};
 use crate::place;
 use crate::rent::Want;
@@ -22,6 +24,8 @@
 struct Dealt {
     part: Arc<str>,
     attempt: u64,
+    /// Tells one assignment of an attempt from the next; 0 if its part doesn't say.
+    assignment: u64,
     /// The part has listed it: it need not be sent again.
     listed: bool,
     phase: Phase,
@@ -46,7 +50,8 @@
     retry_after: Secs,
     not_before: Secs,
     errors: BTreeMap<MachineId, u32>,
-    passed_at: Option<Secs>,
+    /// Of a gang: the attempt that its tasks share.
+    attempt: Option<gang::Attempt>,
     /// Since when a service that is bound to the zone of its tasks has had no
     /// room there.
     stuck_since: Option<Secs>,
@@ -56,7 +61,21 @@
     room: BTreeMap<Arc<str>, Vec<(Arc<str>, u32)>>,
 }
 
+impl Dealt {
+    /// The order of assignments of a task.
+    fn order(&self) -> (u64, u64) {
+        (self.attempt, self.assignment)
+    }
+}
+
 impl Entry {
+    /// The assignments that differ from their attempts, of tasks that a part
+    /// has not listed yet.
+    fn assignments(&self, node: &str) -> Vec<(u32, u64)> {
+        let unlisted = self.unlisted.iter().filter_map(|index| Some((*index, self.dealt.get(index)?)));
+        let differ = unlisted.filter(|(_, d)| &*d.part == node && d.assignment != d.attempt);
+        differ.map(|(index, d)| (index, d.assignment)).collect()
+    }
     fn undeal(&mut self, index: u32) -> Option<Dealt> {
         self.unlisted.remove(&index);
         self.dealt.remove(&index)
@@ -131,6 +150,8 @@
     start_aims: HashMap<Arc<str>, f64>,
     aims: Aims,
     report_s: Secs,
+    gang_wait_s: Secs,
+    gangs_allowed: bool,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
     /// CPUs on ordinary machines that are kept free for services to come.
@@ -167,6 +188,8 @@
             start_aims: settings.start_aims(),
             aims: Aims::new(settings),
             report_s: settings.params.workers.report_s,
+            gang_wait_s: settings.params.workers.gang_wait_s,
+            gangs_allowed: true,
             drain: BTreeSet::new(),
             moving: BTreeSet::new(),
             reserve: 0.0,
@@ -202,6 +225,9 @@
             let dealt = std::mem::take(&mut job.dealt);
             job.unlisted.clear();
             job.with.retain(|_, p| steady.contains(&**p));
+            if let Some(attempt) = job.attempt.as_mut() {
+                attempt.doubt_task();
+            }
             for (index, d) in dealt {
                 job.unknown.add(index);
                 if steady.contains(&*d.part) {
@@ -254,7 +280,7 @@
                 retry_after: 0.0,
                 not_before: 0.0,
                 errors: BTreeMap::new(),
-                passed_at: None,
+                attempt: None,
                 stuck_since: None,
                 leaving: false,
                 room: BTreeMap::new(),
@@ -330,12 +356,18 @@
             }
             let Some(entry) = self.jobs.get_mut(&h.task.job) else { continue };
             if h.phase == Phase::Done && wanted(mirror, &h.task) {
-                entry.finishing.add(i);
+                // The tasks of a gang complete together: if one is done, all are,
+                // also those that are lost since.
+                let done = if entry.spec.shape == Shape::Gang { 0..entry.spec.tasks } else { i..i + 1 };
+                done.for_each(|task| {
+                    entry.finishing.add(task);
+                });
             }
             entry.unknown.remove(i);
             let d = Dealt {
                 part: part.clone(),
                 attempt: h.attempt,
+                assignment: h.assignment,
                 listed: true,
                 phase: h.phase,
                 machine: h.machine,
@@ -343,18 +375,27 @@
             match entry.dealt.get(&i) {
                 // Two parts list it (a machine changed hands): the newer word
                 // of the later attempt stands, until one of them is gone.
-                Some(old) if old.part != d.part && old.attempt > d.attempt => {}
+                Some(old) if old.part != d.part && old.order() > d.order() => {}
                 _ => entry.deal(i, d),
             }
         }
         for g in r.gone {
             let Some(entry) = self.jobs.get_mut(&g.task.job) else { continue };
             let i = g.task.index;
-            let ours = entry.dealt.get(&i).is_some_and(|d| *d.part == *part && d.attempt == g.attempt);
+            // Guard: a part says again and again that a task is gone, also after
+            // it was assigned there anew under the same attempt.
+            let ours = entry.dealt.get(&i).is_some_and(|d| {
+                *d.part == *part
+                    && d.attempt == g.attempt
+                    && (g.assignment == 0 || d.assignment == g.assignment)
+            });
             if !ours {
                 continue;
             }
             entry.undeal(i);
+            if let Some(attempt) = entry.attempt.as_mut().filter(|_| g.how != Leave::Passed) {
+                attempt.lost_task();
+            }
             match g.how {
                 Leave::Error => {
                     if let Some(m) = g.machine {
@@ -367,8 +408,7 @@
                         entry.not_before = now + self.report_s * f64::from(1u32 << total.min(6));
                     }
                 }
-                Leave::Passed => entry.passed_at = Some(now),
-                Leave::Stopped | Leave::Lost => {}
+                Leave::Passed | Leave::Stopped | Leave::Lost => {}
             }
         }
         if whole && r.kept {
@@ -405,6 +445,9 @@
             entry.undeal(i);
             if !mirror.jobs.get(&id).is_some_and(|j| j.finished.has(i) || j.record.done) {
                 entry.unknown.add(i);
+                if let Some(attempt) = entry.attempt.as_mut() {
+                    attempt.doubt_task();
+                }
                 self.resolved = false;
             }
         }
@@ -579,7 +622,7 @@
     /// age, until `more` says that the time is over; the next round goes on
     /// from there. Returns the parts that have new orders.
     pub fn deal(&mut self, mirror: &Mirror, now: Secs, mut more: impl FnMut() -> bool) -> BTreeSet<String> {
-        let mut touched = BTreeSet::new();
+        let mut touched = self.watch_gangs(mirror, now);
         if self.parts.is_empty() {
             return touched;
         }
@@ -619,6 +662,7 @@
         let mut used = self.used();
         let mut rooms = self.rooms();
         let mut wants = Vec::new();
+        let mut gang_waits = false;
         for (_, _, _, _, id) in order {
             if !more() {
                 self.cursor = Some(id);
@@ -627,6 +671,7 @@
             let Some(job) = mirror.jobs.get(&id) else { continue };
             let Some(e) = self.jobs.get(&id) else { continue };
             let spec = e.spec.clone();
+            let age_s = day.saturating_sub(e.at_ms) as f64 / 1000.0;
             let team = self.teams.get(&spec.team);
             let u = used.entry(spec.team.clone()).or_default();
             let left = Res {
@@ -644,16 +689,24 @@
                 })
                 .take(quota)
                 .collect();
-            if free.is_empty() {
+            let gang = spec.shape == Shape::Gang;
+            if free.is_empty() || gang && !(self.gangs_allowed && e.gang_may_start(free.len())) {
                 continue;
             }
             let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
             let quick = place::in_a_hurry(&spec, &self.start_aims, mirror.catalog.as_deref());
-            let wish = Wish::new(&spec, &self.names, avoid, quick, spec.rank == Rank::Prod);
+            let mut wish = Wish::new(&spec, &self.names, avoid, quick, spec.rank == Rank::Prod);
+            if gang && self.start_aims.contains_key(&spec.class) {
+                wish = wish.with_reserve();
+            }
             let dealt = if rooms.hopeless(&wish) {
                 Vec::new()
-            } else if spec.shape == Shape::Gang {
-                self.deal_gang(&id, &wish, &free, &mut rooms)
+            } else if gang {
+                // The first of those that wait; for the others its room comes later.
+                let keeps_room = !gang_waits && age_s < BEGIN_WITHIN_S * 2.0;
+                let dealt = self.deal_gang(&id, &wish, &free, &mut rooms, mirror, keeps_room);
+                gang_waits |= dealt.is_empty() && keeps_room;
+                dealt
             } else if spec.one_zone || spec.scatter {
                 let dealt = self.deal_bound(&id, &wish, &free, &mut rooms, mirror);
                 if spec.one_zone && spec.shape == Shape::Service {
@@ -675,7 +728,7 @@
                     ask: spec.ask(),
                     count: (free.len() - placed) as u32,
                     spec: spec.clone(),
-                    age_s: clock::day_ms().saturating_sub(self.jobs[&id].at_ms) as f64 / 1000.0,
+                    age_s,
                 });
             }
             u.cpus += placed as f64 * spec.cpus;
@@ -684,18 +737,18 @@
                 touched.insert(part.to_string());
                 for index in tasks {
                     self.attempts += 1;
-                    let attempt = (self.epoch << 24) | self.attempts;
+                    let assignment = (self.epoch << 24) | self.attempts;
+                    let attempt = if gang { self.gang_attempt(&id, assignment, now) } else { assignment };
+                    let dealt = Dealt {
+                        part: part.clone(),
+                        attempt,
+                        assignment,
+                        listed: false,
+                        phase: Phase::Queued,
+                        machine: None,
+                    };
                     if let Some(e) = self.jobs.get_mut(&id) {
-                        e.deal(
-                            index,
-                            Dealt {
-                                part: part.clone(),
-                                attempt,
-                                listed: false,
-                                phase: Phase::Queued,
-                                machine: None,
-                            },
-                        );
+                        e.deal(index, dealt);
                     }
                 }
             }
@@ -717,26 +770,13 @@
         free: &[u32],
         rooms: &mut Rooms,
         mirror: &Mirror,
-    ) -> Dealing {
+    ) -> Assignment {
         let Some(e) = self.jobs.get(id) else { return Vec::new() };
         let spec = e.spec.clone();
         if !e.unknown.is_empty() || e.leaving {
             return Vec::new();
         }
-        let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-        for d in e.dealt.values() {
-            let zone = d.machine.as_ref().and_then(|m| mirror.roster.get(m)).map(|(r, _)| &r.zone);
-            match zone.and_then(|z| self.names.known(z)) {
-                Some(z) => *counts.entry(z).or_default() += 1,
-                None => return Vec::new(),
-            }
-        }
-        let zones: BTreeSet<u32> = rooms.slots.iter().map(|s| s.zone).collect();
-        let room: Vec<(u32, u32)> = zones
-            .into_iter()
-            .filter(|z| !spec.one_zone || counts.is_empty() || counts.contains_key(z))
-            .map(|z| (z, spec.zone_cap().saturating_sub(counts.get(&z).copied().unwrap_or(0))))
-            .collect();
+        let Some(room) = self.zone_room(e, rooms, mirror) else { return Vec::new() };
         // The roomiest part that can take them all; else the one that takes
         // the most.
         let Some((part, chosen)) = roomiest_for(wish, free.len(), rooms, &room, spec.one_zone, &self.names)
@@ -778,6 +818,20 @@
         vec![(part, tasks)]
     }
 
+    /// How many more tasks of a job each zone may take, by where the others are;
+    /// none while that isn't known of all.
+    fn zone_room(&self, e: &Entry, rooms: &Rooms, mirror: &Mirror) -> Option<ZoneRoom> {
+        let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
+        for d in e.dealt.values() {
+            let (record, _) = mirror.roster.get(d.machine.as_ref()?)?;
+            *counts.entry(self.names.known(&record.zone)?).or_default() += 1;
+        }
+        let zones: BTreeSet<u32> = rooms.slots.iter().map(|s| s.zone).collect();
+        let allowed = |z: &u32| !e.spec.one_zone || counts.is_empty() || counts.contains_key(z);
+        let left = |z: u32| (z, e.spec.zone_cap().saturating_sub(counts.get(&z).copied().unwrap_or(0)));
+        Some(zones.into_iter().filter(allowed).map(left).collect())
+    }
+
     /// Where a job's tasks are, as far as that is known, if it matters for the
     /// rest of them.
     fn zones_of(&self, id: &JobId, mirror: &Mirror) -> BTreeMap<Arc<str>, u32> {
@@ -835,22 +889,6 @@
         out
     }
 
-    /// Gangs are the leader's own: dealt only when every task is free and all
-    /// fit at once, over as many parts as that takes.
-    fn deal_gang(&mut self, id: &JobId, wish: &Wish, free: &[u32], rooms: &mut Rooms) -> Dealing {
-        let Some(e) = self.jobs.get(id) else { return Vec::new() };
-        if !e.unknown.is_empty() || !e.dealt.is_empty() {
-            return Vec::new();
-        }
-        let zones: BTreeSet<u32> = rooms.slots.iter().map(|s| s.zone).collect();
-        let caps: Vec<(u32, u32)> = zones.into_iter().map(|z| (z, e.spec.zone_cap())).collect();
-        let chosen = rooms.try_place(wish, free.len(), None, &caps, e.spec.one_zone);
-        if chosen.len() < free.len() {
-            return Vec::new();
-        }
-        self.deal_spread(id, wish, &chosen, free, rooms)
-    }
-
     /// Deals tasks to the parts of the chosen machines, and tells each part
     /// how many of them a zone may take there.
     fn deal_spread(
@@ -860,7 +898,7 @@
         chosen: &[usize],
         free: &[u32],
         rooms: &mut Rooms,
-    ) -> Dealing {
+    ) -> Assignment {
         let Some(e) = self.jobs.get_mut(id) else { return Vec::new() };
         let mut out: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
         e.room.clear();
@@ -894,6 +932,7 @@
                     tasks,
                     zone_room: e.room.get(node).cloned().filter(|_| e.spec.one_zone || e.spec.scatter),
                     avoid: e.errors.keys().cloned().collect(),
+                    assignments: e.assignments(node),
                 });
             }
         }
@@ -996,7 +1035,10 @@
 }
 
 /// Parts with the tasks that go to each.
-type Dealing = Vec<(Arc<str>, Vec<u32>)>;
+type Assignment = Vec<(Arc<str>, Vec<u32>)>;
+
+/// How many more tasks of a job each zone may take.
+type ZoneRoom = Vec<(u32, u32)>;
 
 /// Whether a task's end is still to be committed. Guard: not once its job is
 /// cancelled, which a part may hear later than the leader. Its last task's end,
@@ -1073,7 +1115,7 @@
     best.map(|b| (b.3, b.4))
 }
 
-fn deal_whole(wish: &Wish, free: &[u32], rooms: &mut Rooms, names: &Names) -> Dealing {
+fn deal_whole(wish: &Wish, free: &[u32], rooms: &mut Rooms, names: &Names) -> Assignment {
     let zones: BTreeSet<u32> = rooms.slots.iter().map(|s| s.zone).collect();
     let all: Vec<(u32, u32)> = zones.into_iter().map(|z| (z, u32::MAX)).collect();
     let Some((part, chosen)) = roomiest_for(wish, free.len(), rooms, &all, false, names) else {
@@ -1086,7 +1128,7 @@
 }
 
 /// An array's tasks go one by one to the part with the most room left.
-fn deal_array(wish: &Wish, free: &[u32], rooms: &mut Rooms, names: &Names) -> Dealing {
+fn deal_array(wish: &Wish, free: &[u32], rooms: &mut Rooms, names: &Names) -> Assignment {
     let mut out: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
     let mut full: Vec<u32> = Vec::new();
     let mut left = free.iter();
--- /dev/null
+++ b/src/deal/gang.rs
@@ -0,0 +1,203 @@
+//! Gangs: jobs whose tasks run all together or not at all. Only the leader
+//! assigns them: every task at once, all under one attempt number.
+//!
+//! An attempt gathers, runs and is over. While it gathers, a task that its part
+//! could not start is replaced under the same attempt. Whatever else becomes of
+//! one task ends the attempt: all others are stopped, and the next attempt
+//! begins when every task of this one is proven to be nowhere.
+
+use super::{Assignment, Entry, Leader, ZoneRoom};
+use crate::clock::Secs;
+use crate::fleet::Phase;
+use crate::jobs::Mirror;
+use crate::rooms::{Rooms, Wish};
+use crate::wire::{JobId, JobSpec, MachineId, Shape};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The share of the time that tasks wait for each other after which an attempt
+/// that isn't complete gives its room back.
+const INCOMPLETE_SHARE: f64 = 1.0 / 3.0;
+
+/// For how many report intervals a machine may have been silent to count as
+/// one that a stop reaches at once.
+const REACHED_REPORTS: f64 = 1.3;
+
+/// The present attempt of a gang.
+#[derive(Debug, Clone)]
+pub(super) struct Attempt {
+    /// Shared by all tasks, never used for another attempt.
+    pub number: u64,
+    since: Secs,
+    /// Some task has been seen to run.
+    started: bool,
+    /// Some task was lost after it may have had its image: the attempt may
+    /// have run, and can't any more.
+    broken: bool,
+    /// Where some task was has not been known for a while: if it turns out to
+    /// be nowhere, it may have been lost like that.
+    in_doubt: bool,
+}
+
+impl Attempt {
+    /// An attempt that begins.
+    pub fn begun(number: u64, now: Secs) -> Attempt {
+        Attempt { number, since: now, started: false, broken: false, in_doubt: false }
+    }
+
+    /// Where a task is has become unknown.
+    pub fn doubt_task(&mut self) {
+        self.in_doubt = true;
+    }
+
+    /// A task left its machine, other than by being refused.
+    pub fn lost_task(&mut self) {
+        self.broken = true;
+    }
+}
+
+/// What is to be done about a gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Nothing: it gathers, runs or ends. What it lacks may be assigned.
+    Leave,
+    /// The attempt is over: all its tasks are to be stopped.
+    Withdraw,
+}
+
+impl Entry {
+    /// Whether the tasks that a gang lacks may be assigned now, of which `free`
+    /// are within the team's limit.
+    pub(super) fn gang_may_start(&self, free: usize) -> bool {
+        // Guard: where the team's limit leaves room for some only, none starts.
+        let whole = self.dealt.len() + free == self.spec.tasks as usize;
+        whole && !self.leaving && self.unknown.is_empty() && self.unlisted.is_empty()
+    }
+
+    /// Takes the attempt from what parts hold, after a change of leader.
+    fn adopt_attempt(&mut self, now: Secs) {
+        if self.attempt.is_none() {
+            let number = self.dealt.values().map(|d| d.attempt).max();
+            self.attempt = number.map(|number| Attempt { in_doubt: true, ..Attempt::begun(number, now) });
+        }
+    }
+
+    fn next_step(&mut self, gang_wait_s: Secs, now: Secs) -> Step {
+        self.adopt_attempt(now);
+        let complete = self.dealt.len() == self.spec.tasks as usize;
+        let Some(attempt) = self.attempt.as_mut() else { return Step::Leave };
+        let runs = |phase: Phase| matches!(phase, Phase::Running | Phase::Saving | Phase::Done);
+        attempt.started |= self.dealt.values().any(|d| runs(d.phase));
+        let mixed = self.dealt.values().any(|d| d.attempt != attempt.number);
+        let waits_too_long = now - attempt.since > gang_wait_s * INCOMPLETE_SHARE;
+        let over = attempt.started || attempt.in_doubt || waits_too_long;
+        if attempt.broken || mixed || over && !complete {
+            Step::Withdraw
+        } else {
+            Step::Leave
+        }
+    }
+}
+
+impl Leader {
+    /// Looks after all gangs: withdraws attempts that can't run any more and
+    /// those whose machine is about to be taken. Returns the parts that have
+    /// new orders: a stop must reach all tasks within `gang_peer_s`.
+    pub(super) fn watch_gangs(&mut self, mirror: &Mirror, now: Secs) -> BTreeSet<String> {
+        let mut touched = BTreeSet::new();
+        let to_be_taken = self.gangs_to_be_taken(now);
+        let gang_wait_s = self.gang_wait_s;
+        let gangs = self.jobs.iter_mut().filter(|(_, e)| e.spec.shape == Shape::Gang);
+        for (id, entry) in gangs {
+            if entry.dealt.is_empty() {
+                if entry.unknown.is_empty() {
+                    entry.attempt = None;
+                    entry.leaving = false;
+                }
+                continue;
+            }
+            let live = mirror.jobs.get(id).is_some_and(|job| job.live());
+            if !live || !entry.unknown.is_empty() || !entry.finishing.is_empty() || entry.leaving {
+                continue;
+            }
+            let step = entry.next_step(gang_wait_s, now);
+            if step == Step::Withdraw || to_be_taken.contains(id) {
+                tracing::info!(%id, attempt = ?entry.attempt, held = entry.dealt.len(), "a gang's attempt is withdrawn");
+                entry.leaving = true;
+                touched.extend(entry.dealt.values().map(|d| d.part.to_string()));
+            }
+        }
+        touched
+    }
+
+    /// Gangs with a task on a machine that will be taken before they end, all of
+    /// whose machines a stop reaches now: they save together. Of the others the
+    /// progress since their last checkpoint is lost with the machine.
+    fn gangs_to_be_taken(&self, now: Secs) -> BTreeSet<JobId> {
+        let noticed: BTreeSet<&MachineId> = self.machines().filter(|m| m.noticed).map(|m| &m.id).collect();
+        if noticed.is_empty() {
+            return BTreeSet::new();
+        }
+        let silent = self.report_s * REACHED_REPORTS;
+        let reached: BTreeSet<&MachineId> =
+            self.machines_at(now).filter(|m| m.certain && m.silent_s < silent).map(|m| &m.view.id).collect();
+        let on = |e: &Entry, machines: &BTreeSet<&MachineId>| {
+            e.dealt.values().filter(|d| d.machine.as_ref().is_some_and(|m| machines.contains(m))).count()
+        };
+        let saves = |e: &Entry| e.spec.checkpoint_s > 0.0 || !e.attempt.as_ref().is_some_and(|a| a.started);
+        let gangs = self.jobs.iter().filter(|(_, e)| e.spec.shape == Shape::Gang && !e.dealt.is_empty());
+        gangs
+            .filter(|(_, e)| saves(e))
+            .filter(|(_, e)| on(e, &noticed) > 0 && on(e, &reached) == e.dealt.len())
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Assigns every free task of a gang, or none. With `keeps_room`, room that
+    /// isn't enough yet is kept from the jobs that come after it in this round:
+    /// taken by smaller ones as it comes free, it would never be enough.
+    pub(super) fn deal_gang(
+        &mut self,
+        id: &JobId,
+        wish: &Wish,
+        free: &[u32],
+        rooms: &mut Rooms,
+        mirror: &Mirror,
+        keeps_room: bool,
+    ) -> Assignment {
+        let Some(entry) = self.jobs.get(id) else { return Vec::new() };
+        let spec = entry.spec.clone();
+        let Some(caps) = self.zone_room(entry, rooms, mirror) else { return Vec::new() };
+        let chosen = choose(wish, free.len(), &caps, &spec, rooms);
+        if chosen.len() < free.len() {
+            let kept = if keeps_room { chosen.as_slice() } else { &[] };
+            kept.iter().for_each(|&slot| rooms.take(slot, &wish.ask));
+            return Vec::new();
+        }
+        self.deal_spread(id, wish, &chosen, free, rooms)
+    }
+
+    /// The attempt number for tasks of a gang that are assigned now.
+    pub(super) fn gang_attempt(&mut self, id: &JobId, new_number: u64, now: Secs) -> u64 {
+        let Some(entry) = self.jobs.get_mut(id) else { return new_number };
+        entry.attempt.get_or_insert_with(|| Attempt::begun(new_number, now)).number
+    }
+
+    /// Whether gangs are assigned: not while a controller of a version without
+    /// them may lead or own machines.
+    pub fn run_gangs(&mut self, allowed: bool) {
+        self.gangs_allowed = allowed;
+    }
+}
+
+/// Machines for `count` tasks: of a gang for one zone those of the zone that
+/// takes the most of them, and of several the one where the most find their image.
+fn choose(wish: &Wish, count: usize, caps: &ZoneRoom, spec: &Arc<JobSpec>, rooms: &mut Rooms) -> Vec<usize> {
+    if !spec.one_zone {
+        return rooms.try_place(wish, count, None, caps, false);
+    }
+    let of_zone = |zone: &(u32, u32)| rooms.try_place(wish, count, None, &[*zone], false);
+    let per_zone: Vec<Vec<usize>> = caps.iter().map(of_zone).collect();
+    let key = |chosen: &Vec<usize>| (chosen.len(), rooms.cached(wish, chosen));
+    per_zone.into_iter().max_by_key(key).unwrap_or_default()
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::place::{self, Candidate};
 use crate::silence::{Reached, Stretch};
 use crate::wire::{
-    Call, Commands, JobId, JobSpec, MachineId, Rank, Report, Res, Shape, Task, TaskLine, TaskState,
+    cause, Call, Commands, JobId, JobSpec, MachineId, Rank, Report, Res, Shape, Task, TaskLine, TaskState,
     START_COUNTS_S,
 };
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,9 @@
     pub attempt: u64,
     pub how: Leave,
     pub machine: Option<MachineId>,
+    /// The assignment that it was held under; 0 if the version doesn't say.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub assignment: u64,
     seq: u64,
 }
 
@@ -70,6 +73,13 @@
     pub attempt: u64,
     pub phase: Phase,
     pub machine: Option<MachineId>,
+    /// The assignment that it is held under; 0 if the version doesn't say.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub assignment: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// One machine in a part's report: everything but how long ago things were,
@@ -152,6 +162,18 @@
     /// For jobs whose tasks depend on each other: how many more each zone may take.
     pub zone_room: Option<Vec<(Arc<str>, u32)>>,
     pub avoid: Vec<MachineId>,
+    /// Number and assignment of tasks whose attempt is older than their
+    /// assignment: those of gangs, which share one attempt. Versions without
+    /// gangs leave this out and take no such task twice.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub assignments: Vec<(u32, u64)>,
+}
+
+impl Deal {
+    /// The assignment of a task: its attempt, if nothing else is said.
+    fn assignment(&self, index: u32, attempt: u64) -> u64 {
+        self.assignments.iter().find(|(i, _)| *i == index).map_or(attempt, |(_, assignment)| *assignment)
+    }
 }
 
 /// All that the leader tells a part.
@@ -197,6 +219,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Held {
     pub attempt: u64,
+    /// Tells one assignment of an attempt from the next.
+    pub assignment: u64,
     pub at: Option<Place>,
     pub since: Secs,
     pub avoid: Vec<MachineId>,
@@ -306,7 +330,7 @@
     told: HashMap<MachineId, (MachineView, u64)>,
     /// The newest report that the leader has taken in.
     acked: u64,
-    /// The highest attempt seen of each task: a late copy of a deal does nothing.
+    /// The highest assignment seen of each task: a late copy of a deal does nothing.
     seen: HashMap<Task, u64>,
     bounds: HashMap<JobId, Bounds>,
     /// How zones are reached with nobody in between.
@@ -469,6 +493,7 @@
                 task: task.clone(),
                 attempt: h.attempt,
                 how,
+                assignment: h.assignment,
                 machine: h.at.map(|p| p.machine),
                 seq: self.seq + 1,
             });
@@ -646,6 +671,7 @@
                             task.clone(),
                             Held {
                                 attempt: *attempt,
+                                assignment: *attempt,
                                 at: Some(Place::adopted(id, session, seen_token, now)),
                                 since: now,
                                 avoid: Vec::new(),
@@ -698,20 +724,27 @@
         p.confirmed = true;
         p.sent = true;
         let phase = match state {
-            TaskState::Fetching => Phase::Fetching,
+            // A gang that gathers does not run yet.
+            TaskState::Fetching | TaskState::Gathering => Phase::Fetching,
             TaskState::Running | TaskState::Other => Phase::Running,
             TaskState::Saving => Phase::Saving,
             TaskState::Ended => match why {
-                Some("done") => Phase::Done,
-                Some("stopped") => return self.leave(task, Leave::Stopped),
-                Some("error") => {
+                Some(cause::DONE) => Phase::Done,
+                Some(cause::STOPPED) => return self.leave(task, Leave::Stopped),
+                Some(cause::ERROR) => {
                     let machine = p.machine.clone();
                     if let Some(m) = self.machines.get_mut(&machine) {
                         m.errors.insert(task.job.clone());
                     }
                     return self.leave(task, Leave::Error);
                 }
-                _ => return self.leave(task, Leave::Passed),
+                // Refused: it can't have had its image under this assignment.
+                Some(cause::NO_ROOM | cause::BUSY | cause::UNKNOWN) | None => {
+                    return self.leave(task, Leave::Passed)
+                }
+                // The attempt of its gang is over, or something this version
+                // doesn't know: neither is the fault of the machine or the job.
+                Some(_) => return self.leave(task, Leave::Lost),
             },
         };
         if p.phase != phase {
@@ -921,22 +954,24 @@
             let mut fresh = false;
             for &(index, attempt) in &deal.tasks {
                 let task = Task { job: deal.job.clone(), index };
+                let assignment = deal.assignment(index, attempt);
                 let seen = self.seen.entry(task.clone()).or_insert(0);
-                if attempt <= *seen {
+                if assignment <= *seen {
                     continue;
                 }
                 if !mirror.jobs.contains_key(&deal.job) {
                     // The mirror is behind the leader's: the deal comes again.
                     continue;
                 }
-                *seen = attempt;
+                *seen = assignment;
                 fresh = true;
                 if let Some(old) = self.held.get(&task) {
                     tracing::warn!(%task, old = old.attempt, attempt, "dealt a task that is held already");
                     continue;
                 }
                 let avoid = deal.avoid.clone();
-                self.held.insert(task.clone(), Held { attempt, at: None, since: now, avoid, told: None });
+                let held = Held { attempt, assignment, at: None, since: now, avoid, told: None };
+                self.held.insert(task.clone(), held);
                 if !live {
                     self.leave(&task, Leave::Stopped);
                 }
@@ -962,7 +997,10 @@
             let young = self.held.get(task).and_then(|h| h.at.as_ref()).is_some_and(|p| {
                 p.phase == Phase::Running && p.stop.is_none() && now - p.since < START_COUNTS_S
             });
-            if !young {
+            // Guard: the tasks of a gang are stopped together or lose their progress.
+            let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
+            let gang = spec.is_some_and(|s| s.shape == Shape::Gang);
+            if !young || gang {
                 self.recall(task, *attempt, Stop::Recalled);
             }
         }
@@ -1346,6 +1384,10 @@
             let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref()) else {
                 continue;
             };
+            // The leader stops a gang as a whole.
+            if spec.shape == Shape::Gang {
+                continue;
+            }
             let left = spec.estimate_s - (now - p.since);
             let ends_in_time =
                 p.phase == Phase::Running && spec.shape == Shape::Array && now + left.max(0.0) < until;
--- a/src/held.rs
+++ b/src/held.rs
@@ -110,6 +110,7 @@
                     attempt: h.attempt,
                     phase,
                     machine: machine.cloned(),
+                    assignment: h.assignment,
                 });
             }
         }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -26,6 +26,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     pub inc: u64,
+    /// What the member's version can do; versions before [`GANG_CAPABILITY`] don't say.
+    #[serde(rename = "v", default, skip_serializing_if = "is_zero")]
+    pub capability: u32,
+}
+
+/// The capability of versions that run gangs.
+pub const GANG_CAPABILITY: u32 = 1;
+
+impl Member {
+    /// A member of this version.
+    pub fn of_this_version(inc: u64) -> Member {
+        Member { inc, capability: GANG_CAPABILITY }
+    }
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Who is entitled to act, and in what role.
@@ -194,6 +211,12 @@
         }
     }
 
+    /// Whether every live member can run gangs. It can change at any time: a
+    /// process that ends may come back with the version of before.
+    pub fn all_run_gangs(&self) -> bool {
+        self.members.values().all(|(member, _)| member.capability >= GANG_CAPABILITY)
+    }
+
     /// Applies one event.
     pub fn apply(&mut self, event: Event) -> Change {
         match event {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -143,7 +143,7 @@
         Err(CallError::Silent) => return None,
     };
     budget.force_call();
-    let put = Op::Put { key: key.into(), value: json!(Member { inc: lease }), lease: Some(lease) };
+    let put = Op::Put { key: key.into(), value: json!(Member::of_this_version(lease)), lease: Some(lease) };
     match store.commit(&[(key.into(), version)], &[put]) {
         Outcome::Done(_) => Some((lease, sent)),
         _ => None,
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -83,6 +83,8 @@
     pub quick: bool,
     /// Lower work makes room for it.
     pub preempts: bool,
+    /// It may take what is kept free for services.
+    pub uses_reserve: bool,
 }
 
 impl Wish {
@@ -99,15 +101,22 @@
             avoid,
             quick,
             preempts,
+            uses_reserve: preempts,
         }
     }
 
+    /// The same wishes, also for what is kept free for services.
+    pub fn with_reserve(self) -> Wish {
+        Wish { uses_reserve: true, ..self }
+    }
+
     /// Whether what doesn't fit for `other` can't fit for this one either.
     fn harder(&self, other: &Wish) -> bool {
         self.kinds == other.kinds
             && self.zone == other.zone
             && (!self.spot || other.spot)
             && (!self.preempts || other.preempts)
+            && (!self.uses_reserve || other.uses_reserve)
             && other.avoid.is_empty()
             && other.ask.cpus <= self.ask.cpus
             && other.ask.gpus <= self.ask.gpus
@@ -168,7 +177,7 @@
 
     /// The parts whose ordinary machines this wish must leave alone.
     fn kept(&self, wish: &Wish) -> Vec<u32> {
-        if wish.preempts {
+        if wish.uses_reserve {
             return Vec::new();
         }
         let kept = self.parts.iter().filter(|p| p.ordinary - wish.ask.cpus < self.reserve);
@@ -294,6 +303,12 @@
         chosen
     }
 
+    /// How many of the chosen machines have the image of a job.
+    pub fn cached(&self, wish: &Wish, chosen: &[usize]) -> usize {
+        let Some(image) = wish.image else { return 0 };
+        chosen.iter().filter(|&&slot| self.slots[slot].images.binary_search(&image).is_ok()).count()
+    }
+
     /// How many of the chosen machines have the image of a job in a hurry, and
     /// room for it without driving anybody out.
     pub fn warm(&self, wish: &Wish, chosen: &[usize]) -> usize {
--- a/src/state.rs
+++ b/src/state.rs
@@ -490,7 +490,8 @@
                 let (inbox, budget, tell) = (inbox.clone(), budget.clone(), tell.clone());
                 // A batch waits for as many writes as it holds.
                 let rate = settings.params.state.write_rps * class.share();
-                let most = settings.params.state.lowest_txn_ops().min((rate * BATCH_S).ceil() as usize).max(1);
+                let most =
+                    settings.params.state.lowest_txn_ops().min((rate * BATCH_S).ceil() as usize).max(1);
                 spawn(&format!("state-{class:?}-{lane}"), move || {
                     let mut left: Option<Write<T>> = None;
                     loop {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -217,6 +217,8 @@
 #[serde(rename_all = "lowercase")]
 pub enum TaskState {
     Fetching,
+    /// A task of a gang that has its image and waits for the others.
+    Gathering,
     Running,
     Saving,
     Ended,
@@ -225,6 +227,26 @@
     Other,
 }
 
+/// Why a task ended or was refused, as workers tell it.
+pub mod cause {
+    /// Completed.
+    pub const DONE: &str = "done";
+    /// Stopped by command.
+    pub const STOPPED: &str = "stopped";
+    /// Failed.
+    pub const ERROR: &str = "error";
+    /// Refused: not enough free resources.
+    pub const NO_ROOM: &str = "no_room";
+    /// Refused: the task is there with another attempt.
+    pub const BUSY: &str = "busy";
+    /// Refused: no such job or task.
+    pub const UNKNOWN: &str = "unknown";
+    /// Another task of the gang is gone.
+    pub const PEERS: &str = "peers";
+    /// The gang was not complete in time.
+    pub const ALONE: &str = "alone";
+}
+
 /// One line of a worker's report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskLine {
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -370,8 +370,10 @@
     }
 
     fn next_epoch(&mut self, members: BTreeMap<String, u64>) {
-        let live =
-            members.iter().map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member { inc }, 1))).collect();
+        let live = members
+            .iter()
+            .map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member::of_this_version(inc), 1)))
+            .collect();
         let present = (self.epoch.n > 0).then(|| self.epoch.clone());
         if let Some(e) = membership::next_epoch(present.as_ref(), &live) {
             self.epoch = e.clone();
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -124,7 +124,13 @@
 }
 
 fn deal(job: &str, tasks: &[(u32, u64)]) -> Vec<Deal> {
-    vec![Deal { job: job.into(), tasks: tasks.to_vec(), zone_room: None, avoid: Vec::new() }]
+    vec![Deal {
+        job: job.into(),
+        tasks: tasks.to_vec(),
+        zone_room: None,
+        avoid: Vec::new(),
+        assignments: Vec::new(),
+    }]
 }
 
 fn place(p: &mut Part, mirror: &Mirror, now: f64) {
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -96,7 +96,13 @@
 }
 
 fn deal(p: &mut Part, mirror: &Mirror, job: &str, tasks: &[(u32, u64)], seq: u64) {
-    let deals = vec![Deal { job: job.into(), tasks: tasks.to_vec(), zone_room: None, avoid: Vec::new() }];
+    let deals = vec![Deal {
+        job: job.into(),
+        tasks: tasks.to_vec(),
+        zone_room: None,
+        avoid: Vec::new(),
+        assignments: Vec::new(),
+    }];
     let o = Orders {
         epoch: 3,
         node: "a".into(),
@@ -255,7 +261,7 @@
 #[test]
 fn epochs_keep_the_leader_while_it_lives_and_prefer_survivors() {
     let live = |m: &[(&str, u64)]| -> BTreeMap<String, (Member, u64)> {
-        m.iter().map(|(n, inc)| (n.to_string(), (Member { inc: *inc }, 1))).collect()
+        m.iter().map(|(n, inc)| (n.to_string(), (Member::of_this_version(*inc), 1))).collect()
     };
     let first = next_epoch(None, &live(&[("a", 1), ("b", 2), ("c", 3)])).expect("an epoch");
     assert_eq!((first.n, first.leader.as_str()), (1, "a"));
