--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -248,12 +248,13 @@
 
 /// A page's machines on pages of at most `size`.
 fn pieces(key: &Arc<str>, page: &RosterPage, size: usize) -> Vec<(Arc<str>, RosterPage)> {
-    let machines: Vec<_> = page.machines.iter().collect();
-    let piece = |(number, machines): (usize, &[(&MachineId, &Option<Arc<str>>)])| {
-        let machines = machines.iter().map(|(id, addr)| ((*id).clone(), (*addr).clone())).collect();
-        (format!("{key}.{number}").into(), RosterPage { machines, ..page.clone() })
-    };
-    machines.chunks(size).enumerate().map(piece).collect()
+    let ids: Vec<&MachineId> = page.machines.keys().collect();
+    let mut pieces = Vec::new();
+    for (number, ids) in ids.chunks(size).enumerate() {
+        let machines = ids.iter().map(|id| ((*id).clone(), page.machines[*id].clone())).collect();
+        pieces.push((format!("{key}.{number}").into(), RosterPage { machines, ..page.clone() }));
+    }
+    pieces
 }
 
 /// Pages in the order in which they are to be written: those that machines are
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -66,6 +66,8 @@
     agent: ureq::Agent,
     /// Whether transactions are carried out late, see [`state_service`].
     pub late: Arc<AtomicBool>,
+    /// Transactions that were over the limits.
+    refused: Arc<AtomicU32>,
     /// Each node's way to the state service, and to each of the others.
     state: Vec<Gate>,
     links: Vec<Vec<Gate>>,
@@ -90,7 +92,8 @@
         let users: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
         let backs: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
         let late = Arc::new(AtomicBool::new(false));
-        let service = state_service(late.clone());
+        let refused = Arc::new(AtomicU32::new(0));
+        let service = state_service(late.clone(), refused.clone());
         let state: Vec<Gate> = (0..n).map(|_| Gate::to(service)).collect();
         let links: Vec<Vec<Gate>> = (0..n).map(|_| backs.iter().map(|b| Gate::to(*b)).collect()).collect();
         let cloud = cloud(users.clone(), seen.clone());
@@ -113,6 +116,7 @@
                 [[params.teams]]\nname = \"t\"\ncpus_max = 40.0\n\
                 [params.workers]\nreport_s = 0.9\nlease_s = 8.0\ncancel_s = 16.0\n\
                 [params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
+                [params.state.next]\nwrite_rps = 150.0\nvalue_kb = 1.0\ntxn_ops = 4\n\
                 [params.cloud]\nrps = 30.0\nlist_lag_s = 1.0\n\
                 [params.machine_limits]\ncore_share = 1.0\nram_mb = 200.0\nmax_connections = 500\n"
             );
@@ -121,8 +125,16 @@
             configs.push(path);
         }
         let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(5)).build();
-        let mut c =
-            Cluster { users, configs, children: (0..n).map(|_| None).collect(), agent, late, state, links };
+        let mut c = Cluster {
+            users,
+            configs,
+            children: (0..n).map(|_| None).collect(),
+            agent,
+            late,
+            refused,
+            state,
+            links,
+        };
         (0..n).for_each(|i| c.boot(i));
         c
     }
@@ -213,6 +225,10 @@
 impl Drop for Cluster {
     fn drop(&mut self) {
         (0..self.users.len()).for_each(|i| self.kill(i));
+        if !std::thread::panicking() {
+            let refused = self.refused.load(Ordering::SeqCst);
+            assert_eq!(refused, 0, "transactions over the limits of the state service");
+        }
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,20 @@
     log: Vec<Value>,
 }
 
+/// The limits to come of the tests' settings, which the state service has from the start.
+pub const LARGEST_VALUE: usize = 1024;
+pub const MOST_WRITES: usize = 4;
+
+/// Whether a transaction is over the limits.
+fn over_limits(body: &Value) -> bool {
+    let empty = Vec::new();
+    let writes = body["writes"].as_array().unwrap_or(&empty);
+    let conditions = body["if"].as_array().unwrap_or(&empty);
+    writes.len() > MOST_WRITES
+        || conditions.len() > MOST_WRITES * 4
+        || writes.iter().any(|w| w["value"].to_string().len() > LARGEST_VALUE)
+}
+
 impl Store {
     fn expire(&mut self) {
         let now = Instant::now();
@@ -100,12 +114,17 @@
 }
 
 /// A state service. While `late` is set, every third transaction gets no answer
-/// in time and is carried out seconds later, after newer ones.
-pub fn state_service(late: Arc<AtomicBool>) -> SocketAddr {
+/// in time and is carried out seconds later, after newer ones. Transactions over
+/// the limits are counted in `refused`.
+pub fn state_service(late: Arc<AtomicBool>, refused: Arc<AtomicU32>) -> SocketAddr {
     let store: Shared<Store> = Shared::default();
     let commits = AtomicU32::new(0);
     serve(move |method, url, body| {
         let commit = *method == Method::Post && url == "/commit";
+        if commit && over_limits(&body) {
+            refused.fetch_add(1, Ordering::SeqCst);
+            return (400, json!({"error": "over the limits"}));
+        }
         if commit && late.load(Ordering::SeqCst) && commits.fetch_add(1, Ordering::SeqCst) % 3 == 2 {
             let store = store.clone();
             std::thread::spawn(move || {
--- /dev/null
+++ b/tests/gangs.rs
@@ -0,0 +1,367 @@
+//! Gangs: all tasks start together or none, all under one attempt. The real
+//! leader and part, driven by hand.
+
+#[path = "common/cores.rs"]
+mod cores;
+
+use cores::*;
+use finchwood::deal::Leader;
+use finchwood::fleet::{Orders, Part, Phase};
+use finchwood::jobs::{Epoch, JobRecord, Mirror};
+use finchwood::wire::{Call, JobSpec, TaskState};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// A gang whose tasks fill a machine each, unless `change` says otherwise.
+fn gang(id: &str, tasks: u32, change: impl Fn(&mut Value)) -> Arc<JobSpec> {
+    spec(id, tasks, |v| {
+        v["shape"] = "ensemble".into();
+        v["rank"] = "standard".into();
+        v["cpus"] = 4.0.into();
+        v["molt_s"] = 20.0.into();
+        v["stash_s"] = 3.0.into();
+        change(v);
+    })
+}
+
+/// What one machine shows of a task: attempt, state, cause.
+type Shown = (u64, TaskState, Option<&'static str>);
+
+/// A leader, its only part and machines that obey, without a network between.
+struct Bench {
+    mirror: Mirror,
+    leader: Leader,
+    part: Part,
+    tokens: Vec<u64>,
+    seq: u64,
+    now: f64,
+    /// What each machine shows: a started task gathers.
+    shown: Vec<BTreeMap<String, Shown>>,
+    /// Commands that the last reports were answered with.
+    commands: Vec<(usize, Call)>,
+}
+
+impl Bench {
+    fn new(mirror: Mirror, machines: usize) -> Bench {
+        let (leader, part, tokens) = pair(&mirror, machines);
+        let shown = vec![BTreeMap::new(); machines];
+        Bench { mirror, leader, part, tokens, seq: 10, now: 1.0, shown, commands: Vec::new() }
+    }
+
+    /// Every machine reports and obeys the answer; leader and part take a round.
+    fn step(&mut self) {
+        self.now += 0.5;
+        round(&mut self.leader, &mut self.part, &self.mirror, self.now);
+        self.commands.clear();
+        for i in 0..self.shown.len() {
+            self.seq += 1;
+            let lines: Vec<Line> = self.shown[i].iter().map(|(t, s)| (t.as_str(), s.0, s.1, s.2)).collect();
+            let r = report(i + 1, 1, self.seq, self.tokens[i], &lines);
+            let (token, calls) = answered(self.part.report(&r, false, &self.mirror, self.now));
+            self.tokens[i] = token;
+            for call in calls {
+                self.obey(i, &call);
+                self.commands.push((i, call));
+            }
+        }
+    }
+
+    fn obey(&mut self, machine: usize, call: &Call) {
+        let shown = &mut self.shown[machine];
+        match call {
+            Call::Start { task, attempt } => {
+                shown.entry(task.clone()).or_insert((*attempt, TaskState::Gathering, None));
+            }
+            Call::Stop { task, .. } => {
+                if let Some(s) = shown.get_mut(task).filter(|s| s.1 != TaskState::Ended) {
+                    (s.1, s.2) = (TaskState::Ended, Some("stopped"));
+                }
+            }
+            Call::Forget { task, .. } => drop(shown.remove(task)),
+        }
+    }
+
+    fn steps(&mut self, count: usize) {
+        (0..count).for_each(|_| self.step());
+    }
+
+    /// Machine, attempt and state of every task that has not ended.
+    fn on_machines(&self) -> Vec<(usize, u64, TaskState)> {
+        let all = self.shown.iter().enumerate().flat_map(|(i, m)| m.values().map(move |s| (i, s.0, s.1)));
+        all.filter(|s| s.2 != TaskState::Ended).collect()
+    }
+
+    /// The attempt that all tasks share, of which there are `count`.
+    fn shared_attempt(&self, count: usize) -> u64 {
+        let on = self.on_machines();
+        let attempts: BTreeSet<u64> = on.iter().map(|s| s.1).collect();
+        assert_eq!((on.len(), attempts.len()), (count, 1), "{on:?}");
+        on[0].1
+    }
+
+    /// Every task that has not ended shows this from now on.
+    fn all_show(&mut self, state: TaskState, cause: Option<&'static str>) {
+        let lines = self.shown.iter_mut().flat_map(|m| m.values_mut());
+        lines.filter(|s| s.1 != TaskState::Ended).for_each(|s| (s.1, s.2) = (state, cause));
+    }
+}
+
+#[test]
+fn a_gang_starts_whole_under_one_attempt_in_one_zone() {
+    let s = gang("wk-1", 3, |v| v["one_zone"] = true.into());
+    let mut b = Bench::new(mirror(6, &[&s]), 6);
+    b.step();
+    b.shared_attempt(3);
+    let zones: BTreeSet<usize> = b.on_machines().iter().map(|s| s.0 % 2).collect();
+    assert_eq!(zones.len(), 1);
+}
+
+#[test]
+fn a_gang_without_room_for_all_starts_nothing_and_keeps_what_room_there_is() {
+    let (s, small) = (gang("wk-1", 3, |_| {}), spec("wk-2", 8, |_| {}));
+    let mut m = mirror(2, &[&s, &small]);
+    // Both have only just been accepted: what waits for very long comes first,
+    // and keeps no room from others.
+    for (job, version) in [(&s, 400), (&small, 401)] {
+        let mut accepted = record(job, false);
+        accepted["t"] = finchwood::clock::day_ms().into();
+        m.put(&format!("fw/j/{}", job.id), accepted, version);
+    }
+    let mut b = Bench::new(m, 2);
+    b.steps(3);
+    assert!(b.on_machines().is_empty(), "neither part of the gang nor the job after it starts");
+    let wanted: u32 = b.leader.wants.iter().filter(|w| w.spec.id == s.id).map(|w| w.count).sum();
+    assert_eq!(wanted, 3, "machines are rented for the whole gang");
+}
+
+// The team's limit leaves room for two of three tasks: none starts.
+#[test]
+fn a_gang_beyond_what_its_team_has_left_starts_nothing() {
+    let (first, s) = (spec("wk-1", 1, |v| v["rank"] = "urgent".into()), gang("wk-2", 3, |_| {}));
+    let m = mirror(6, &[&first, &s]);
+    let mut l = Leader::new(&settings(&[("cpus_max = 400.0", "cpus_max = 12.0")]).expect("settings"));
+    let members = [("a".to_string(), 7)].into_iter().collect();
+    l.enter(&Epoch { n: EPOCH, members, leader: "a".into() }, 7, &m);
+    let mut p = part(&m);
+    for machine in 1..=6 {
+        met(&mut p, &m, machine, 0.2);
+    }
+    assert!(l.part_report(p.snapshot(&m, 0.3), &m, 0.3));
+    l.resolve(&m, &|_| false);
+    l.deal(&m, 0.5, || true);
+    let deals = l.orders("a").expect("orders").deals;
+    let dealt: Vec<(&str, usize)> = deals.iter().map(|d| (&*d.job, d.tasks.len())).collect();
+    assert_eq!(dealt, [("wk-1", 1)]);
+}
+
+// A worker refuses one task: it never had its image, so that the gang can't have
+// run, and the others wait for a replacement under the same attempt. The part
+// says again and again that the refused one is gone.
+#[test]
+fn a_refused_task_is_replaced_under_the_same_attempt_and_old_word_frees_nothing() {
+    let s = gang("wk-1", 3, |_| {});
+    let mut b = Bench::new(mirror(4, &[&s]), 4);
+    b.step();
+    let attempt = b.shared_attempt(3);
+    let refused = b.on_machines()[0].0;
+    b.shown[refused].values_mut().for_each(|s| (s.1, s.2) = (TaskState::Ended, Some("no_room")));
+    b.step();
+    let told = b.part.snapshot(&b.mirror, b.now);
+    let gone = told.gone.clone();
+    assert_eq!(gone.len(), 1, "it is told as gone");
+    b.steps(3);
+    assert_eq!(b.shared_attempt(3), attempt);
+    assert!(b.on_machines().iter().all(|s| s.0 != refused), "on another machine");
+    // The word of the first assignment comes once more.
+    let mut again = b.part.snapshot(&b.mirror, b.now);
+    again.gone = gone;
+    assert!(b.leader.part_report(again, &b.mirror, b.now));
+    b.leader.deal(&b.mirror, b.now, || true);
+    let deals = b.leader.orders("a").expect("orders").deals;
+    assert!(deals.is_empty(), "the replacement counts as gone: {deals:?}");
+}
+
+#[test]
+fn a_running_gang_that_loses_a_task_is_stopped_and_begins_again_when_all_are_gone() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(4, &[&s]), 4);
+    b.step();
+    let first = b.shared_attempt(2);
+    b.all_show(TaskState::Running, None);
+    b.step();
+    // One exits as another is gone; the other has not noticed yet.
+    let (one, other) = (b.on_machines()[0].0, b.on_machines()[1].0);
+    b.shown[one].values_mut().for_each(|s| (s.1, s.2) = (TaskState::Ended, Some("peers")));
+    b.steps(2);
+    let on = b.on_machines();
+    assert!(on.iter().all(|s| s.1 == first || !on.iter().any(|o| o.1 == first)), "beside the old: {on:?}");
+    b.steps(4);
+    let second = b.shared_attempt(2);
+    assert!(second > first, "a new attempt");
+    assert!(b.shown[other].values().all(|s| s.1 == TaskState::Ended || s.0 == second));
+    // `peers` is neither the machines' fault nor the job's.
+    let told = b.part.snapshot(&b.mirror, b.now);
+    assert!(!told.machines.iter().any(|m| m.faulty));
+}
+
+#[test]
+fn done_of_one_task_is_done_of_all() {
+    let s = gang("wk-1", 3, |_| {});
+    let mut b = Bench::new(mirror(3, &[&s]), 3);
+    b.step();
+    b.all_show(TaskState::Running, None);
+    b.step();
+    let first = b.on_machines()[0].0;
+    b.shown[first].values_mut().for_each(|s| (s.1, s.2) = (TaskState::Ended, Some("done")));
+    b.step();
+    b.step();
+    let finishes = b.leader.finishes(b.now, 9, &b.mirror);
+    assert_eq!(finishes.iter().map(|f| f.tasks.len()).collect::<Vec<_>>(), [3], "the whole at once");
+}
+
+// A machine will be taken: every task is told to save in the same moment, also
+// those that have only just begun.
+#[test]
+fn a_notice_stops_the_whole_gang_with_time_to_save() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(3, &[&s]), 3);
+    b.step();
+    b.all_show(TaskState::Running, None);
+    b.step();
+    let noticed = b.on_machines()[0].0;
+    let lines: Vec<Line> = b.shown[noticed].iter().map(|(t, s)| (t.as_str(), s.0, s.1, s.2)).collect();
+    b.seq += 1;
+    let mut r = report(noticed + 1, 1, b.seq, b.tokens[noticed], &lines);
+    r.notice_s = Some(8.0);
+    b.tokens[noticed] = answered(b.part.report(&r, false, &b.mirror, b.now)).0;
+    b.part.heed_notices(&b.mirror, b.now);
+    b.step();
+    let graces: Vec<f64> = b
+        .commands
+        .iter()
+        .filter_map(|(_, c)| match c {
+            Call::Stop { grace_s, .. } => Some(*grace_s),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(graces, [3.0, 3.0]);
+}
+
+#[test]
+fn a_cancelled_gang_that_gathers_is_stopped_at_once() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(2, &[&s]), 2);
+    b.step();
+    b.shared_attempt(2);
+    b.mirror.put("fw/j/wk-1", record(&s, true), 500);
+    b.leader.job_changed(&"wk-1".into(), &b.mirror);
+    b.part.job_changed(&"wk-1".into(), &b.mirror);
+    b.step();
+    assert!(b.on_machines().is_empty());
+}
+
+// A new leader finds one task of two: what became of the other is not known, so
+// that the attempt may have run. It is withdrawn, and the next has a new number.
+#[test]
+fn a_new_leader_completes_no_attempt_of_which_a_task_is_missing() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(3, &[&s]), 3);
+    b.steps(2);
+    let first = b.shared_attempt(2);
+    let lost = b.on_machines()[1].0;
+    b.shown[lost].clear();
+    let members: BTreeMap<String, u64> = [("a".to_string(), 7)].into_iter().collect();
+    let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
+    b.part.enter(epoch.n, 7, &b.mirror, b.now, |_| true);
+    let mut l = Leader::new(&settings(&[]).expect("settings"));
+    l.enter(&epoch, 7, &b.mirror);
+    b.leader = l;
+    for _ in 0..12 {
+        b.step();
+        let attempts: BTreeSet<u64> = b.on_machines().iter().map(|s| s.1).collect();
+        assert!(attempts.len() <= 1, "{attempts:?}");
+    }
+    assert!(b.shared_attempt(2) > first);
+}
+
+// A part that is full by the time its orders come can't start its task. What
+// can't be completed within a share of the time that tasks wait is withdrawn.
+#[test]
+fn a_gang_that_stays_incomplete_gives_its_room_back() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(2, &[&s]), 2);
+    b.step();
+    b.shared_attempt(2);
+    b.now += 1.0;
+    let second = b.on_machines()[1].0;
+    b.shown[second].values_mut().for_each(|s| (s.1, s.2) = (TaskState::Ended, Some("no_room")));
+    // From now on that machine refuses whatever is started there.
+    let wait = settings(&[]).expect("settings").params.workers.gang_wait_s;
+    let deadline = b.now + wait / 2.0;
+    let mut withdrawn = false;
+    while b.now < deadline {
+        b.step();
+        for s in b.shown[second].values_mut().filter(|s| s.1 == TaskState::Gathering) {
+            (s.1, s.2) = (TaskState::Ended, Some("no_room"));
+        }
+        withdrawn |= b.on_machines().is_empty();
+    }
+    assert!(withdrawn, "the first task holds its machine for nothing");
+}
+
+#[test]
+fn gangs_wait_until_every_controller_runs_them() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(2, &[&s]), 2);
+    let member = |version: u64, value: Value, m: &mut Mirror| drop(m.put("fw/m/b", value, version));
+    member(600, json!({"inc": 4}), &mut b.mirror);
+    assert!(!b.mirror.all_run_gangs(), "a member of the version before says nothing of gangs");
+    b.leader.run_gangs(b.mirror.all_run_gangs());
+    b.steps(2);
+    assert!(b.on_machines().is_empty());
+    member(601, json!(finchwood::jobs::Member::of_this_version(5)), &mut b.mirror);
+    b.leader.run_gangs(b.mirror.all_run_gangs());
+    b.steps(2);
+    b.shared_attempt(2);
+    // Its process ends and comes back as it was before the upgrade.
+    member(602, json!({"inc": 6}), &mut b.mirror);
+    assert!(!b.mirror.all_run_gangs());
+}
+
+// States and causes that this version doesn't know: on its machine, whatever it
+// does there, and no fault.
+#[test]
+fn unknown_states_are_on_the_machine_and_unknown_causes_end_the_attempt() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(4, &[&s]), 4);
+    b.step();
+    let first = b.shared_attempt(2);
+    b.all_show(TaskState::Other, None);
+    b.steps(2);
+    assert_eq!(b.shared_attempt(2), first);
+    let told = b.part.snapshot(&b.mirror, b.now);
+    assert!(told.held.iter().all(|h| h.phase == Phase::Running));
+    b.all_show(TaskState::Ended, Some("weather"));
+    b.steps(4);
+    assert!(b.shared_attempt(2) > first);
+    assert!(!b.part.snapshot(&b.mirror, b.now).machines.iter().any(|m| m.faulty));
+}
+
+#[test]
+fn orders_of_a_version_without_gangs_are_still_understood() {
+    // A deal without assignments: the attempt stands for them.
+    let s = gang("wk-1", 2, |_| {});
+    let m = mirror(2, &[&s]);
+    let mut p = part(&m);
+    for machine in 1..=2 {
+        met(&mut p, &m, machine, 0.2);
+    }
+    let deals = deal("wk-1", &[(0, 50), (1, 50)]);
+    p.orders(&Orders { ..orders(1, deals) }, &m, 0.4);
+    place(&mut p, &m, 0.5);
+    let held = p.snapshot(&m, 0.6).held;
+    assert_eq!(held.iter().map(|h| (h.attempt, h.assignment)).collect::<Vec<_>>(), [(50, 50), (50, 50)]);
+    let accepted: JobRecord = serde_json::from_value(record(&s, false)).expect("a record");
+    assert!(accepted.spec.is_some());
+}
