--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -55,7 +55,7 @@
         image_gb: 1.0,
         types: None,
         zone: None,
-        one_zone: shape == Shape::Gang && n % 2 == 0,
+        one_zone: shape == Shape::Gang && n.is_multiple_of(2),
         scatter: shape == Shape::Service,
         spot: true,
         estimate_s: 5.0,
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,271 @@
+//! Two versions at once: what production wrote is read here, and what is written
+//! here is read there.
+//!
+//! `fixtures/` holds bytes that the version in production wrote: a line for each
+//! key of the state service, and messages between controllers in hex.
+//! [`production`] holds as much of its types as reading needs, as they were.
+
+#[path = "common/cores.rs"]
+mod cores;
+
+use cores::*;
+use finchwood::finished::{chunks_covering, tasks_per_chunk, Chunk, ChunkRange};
+use finchwood::fleet::{Deal, Gone, HeldView, Leave, Orders, PartReport, Phase};
+use finchwood::jobs::{Member, Mirror};
+use finchwood::peer::{Envelope, Message};
+use finchwood::wire::{Shape, Task};
+use serde_json::{json, Value};
+
+const STATE: &str = include_str!("fixtures/production-state.txt");
+const MESSAGES: &str = include_str!("fixtures/production-messages.txt");
+
+/// The types of messages as production has them, without what these tests don't
+/// look at: unknown fields are left out, unknown variants make a message unreadable.
+mod production {
+    use serde::Deserialize;
+
+    #[derive(Debug, Deserialize)]
+    pub struct Envelope {
+        pub message: Message,
+    }
+    #[derive(Debug, Deserialize)]
+    pub enum Message {
+        Part(PartReport),
+        Orders(Orders),
+        Hello,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct PartReport {
+        pub epoch: u64,
+        pub seq: u64,
+        pub held: Vec<HeldView>,
+        pub gone: Vec<Gone>,
+        pub dropped: Vec<(Task, u64, u64)>,
+    }
+    #[derive(Debug, Deserialize, PartialEq)]
+    pub struct Task {
+        pub job: String,
+        pub index: u32,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct HeldView {
+        pub task: Task,
+        pub attempt: u64,
+        pub phase: Phase,
+        pub machine: Option<String>,
+    }
+    #[derive(Debug, Deserialize, PartialEq)]
+    pub enum Phase {
+        Queued,
+        Starting,
+        Fetching,
+        Running,
+        Saving,
+        Done,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct Gone {
+        pub task: Task,
+        pub attempt: u64,
+        pub how: Leave,
+    }
+    #[derive(Debug, Deserialize, PartialEq)]
+    pub enum Leave {
+        Stopped,
+        Error,
+        Lost,
+        Passed,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct Orders {
+        pub epoch: u64,
+        pub deals: Vec<Deal>,
+        pub recall: Vec<(Task, u64)>,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct Deal {
+        pub job: String,
+        pub tasks: Vec<(u32, u64)>,
+        pub zone_room: Option<Vec<(String, u32)>>,
+        pub avoid: Vec<String>,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct Member {
+        pub inc: u64,
+    }
+}
+
+fn state() -> Vec<(&'static str, Value)> {
+    let line = |l: &'static str| {
+        let (key, value) = l.split_once(' ').expect("a key and a value");
+        (key, serde_json::from_str(value).expect("a value"))
+    };
+    STATE.lines().map(line).collect()
+}
+
+fn message(name: &str) -> Envelope {
+    let hex = MESSAGES.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')).expect("a message");
+    let byte = |i: usize| u8::from_str_radix(&hex[i..i + 2], 16).expect("hex");
+    let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+    Envelope::decode(&bytes).expect("it is read")
+}
+
+/// What production reads of a message written here.
+fn in_production(message: Message) -> production::Message {
+    let envelope = Envelope {
+        from: "a".into(),
+        to: "b".into(),
+        fresh: true,
+        hears: Vec::new(),
+        apart: Vec::new(),
+        called_off: Vec::new(),
+        message,
+    };
+    let read: production::Envelope = ciborium::from_reader(&envelope.encode()[..]).expect("it is read");
+    read.message
+}
+
+#[test]
+fn every_value_of_production_is_read_and_written_back_as_it_was() {
+    let mut m = Mirror::new(8.0);
+    for (i, (key, value)) in state().into_iter().enumerate() {
+        m.put(key, value, 1 + i as u64);
+    }
+    assert_eq!(m.epoch.as_ref().map(|e| (e.n, e.leader.as_str(), e.members.len())), Some((4, "a", 2)));
+    assert_eq!(m.catalog.as_ref().map(|c| c.types.len()), Some(1));
+    assert_eq!(m.members["a"].0, Member { inc: 7, capability: 0 });
+    assert!(!m.all_run_gangs(), "production does not run gangs");
+    assert_eq!(m.jobs["wk-1"].finished.iter().collect::<Vec<_>>(), [0, 2]);
+    assert_eq!(m.jobs["wk-2"].record.spec.as_ref().map(|s| s.shape), Some(Shape::Gang));
+    assert!(m.jobs["wk-3"].record.cancelled && m.jobs["wk-4"].record.done);
+    assert_eq!(m.jobs["wk-5"].finished.iter().collect::<Vec<_>>(), [0, 5000, 16385], "of both its chunks");
+    let up: Vec<(&str, bool)> = m.roster.iter().map(|(id, (r, _))| (&**id, r.up)).collect();
+    assert_eq!(up, [("m-1", true), ("m-2", false), ("m-3", true), ("m-4", true)]);
+    for (key, value) in state() {
+        let written = match key.split('/').nth(1).expect("a kind of key") {
+            "epoch" => json!(m.epoch),
+            "c" => json!(m.catalog),
+            "j" => json!(m.jobs[key.rsplit('/').next().expect("an id")].record),
+            "r" if value.get("m").is_some() => json!(m.pages[key].page),
+            _ => continue,
+        };
+        assert_eq!(written, value, "{key}");
+    }
+}
+
+#[test]
+fn every_message_of_production_is_read() {
+    let part = message("part");
+    assert_eq!((part.called_off.len(), part.hears.len(), part.apart.len()), (1, 1, 1));
+    let Message::Part(part) = part.message else { panic!("not a part's report") };
+    assert_eq!((part.epoch, part.seq, part.machines.len()), (4, 1, 4));
+    let held: Vec<(u64, Phase, u64)> = part.held.iter().map(|h| (h.attempt, h.phase, h.assignment)).collect();
+    assert_eq!(held, [(70, Phase::Running, 0)], "production names no assignment");
+    let gone: Vec<(u64, Leave, u64)> = part.gone.iter().map(|g| (g.attempt, g.how, g.assignment)).collect();
+    assert_eq!(gone, [(72, Leave::Passed, 0), (71, Leave::Error, 0)]);
+    let Message::Orders(orders) = message("orders").message else { panic!("not orders") };
+    let deal = &orders.deals[0];
+    assert_eq!((deal.tasks.len(), deal.zone_room.is_some(), deal.assignments.len()), (3, true, 0));
+    assert_eq!((orders.recall.len(), orders.drain.len()), (1, 1));
+    assert!(matches!(message("hello").message, Message::Hello));
+}
+
+// A gang's refused task was assigned anew: production reads the same message
+// without the assignments, and takes no task twice under one attempt.
+#[test]
+fn production_reads_orders_with_gangs() {
+    let deals = vec![Deal {
+        job: "wk-1".into(),
+        tasks: vec![(0, 50), (1, 50)],
+        zone_room: Some(vec![("e".into(), 2)]),
+        avoid: vec!["m-9".into()],
+        assignments: vec![(1, 51)],
+    }];
+    let recall = vec![(Task { job: "wk-2".into(), index: 1 }, 60)];
+    let read = in_production(Message::Orders(Orders { recall, ..orders(1, deals) }));
+    let production::Message::Orders(read) = read else { panic!("not orders") };
+    assert_eq!(read.epoch, EPOCH);
+    assert_eq!((read.deals[0].job.as_str(), &read.deals[0].tasks[..]), ("wk-1", &[(0, 50), (1, 50)][..]));
+    assert_eq!(read.deals[0].zone_room, Some(vec![("e".to_string(), 2)]));
+    assert_eq!(read.deals[0].avoid, ["m-9"]);
+    assert_eq!(read.recall, [(production::Task { job: "wk-2".into(), index: 1 }, 60)]);
+}
+
+// A gang that gathers, and one whose tasks are gone: whatever this version knows
+// of them, its reports hold no phase and no way to leave that production lacks.
+#[test]
+fn production_reads_reports_with_gangs() {
+    for phase in [Phase::Queued, Phase::Starting, Phase::Fetching, Phase::Running, Phase::Saving, Phase::Done]
+    {
+        let Message::Part(before) = message("part").message else { panic!("not a part's report") };
+        let task = Task { job: "wk-2".into(), index: 0 };
+        let held = vec![HeldView { task, attempt: 50, phase, machine: Some("m-1".into()), assignment: 51 }];
+        let gone: Vec<Gone> = [Leave::Stopped, Leave::Error, Leave::Lost, Leave::Passed]
+            .into_iter()
+            .map(|how| {
+                let mut gone = before.gone[0].clone();
+                (gone.how, gone.assignment) = (how, 52);
+                gone
+            })
+            .collect();
+        let dropped = vec![(Task { job: "wk-2".into(), index: 2 }, 50, 3)];
+        let read = in_production(Message::Part(PartReport { held, gone, dropped, ..before }));
+        let production::Message::Part(read) = read else { panic!("not a part's report") };
+        assert_eq!((read.epoch, read.seq, read.dropped.len()), (4, 1, 1));
+        assert_eq!((read.held[0].attempt, format!("{:?}", read.held[0].phase)), (50, format!("{phase:?}")));
+        assert_eq!(read.held[0].task, production::Task { job: "wk-2".into(), index: 0 });
+        assert_eq!(read.held[0].machine.as_deref(), Some("m-1"));
+        use production::Leave::{Error, Lost, Passed, Stopped};
+        assert_eq!(read.gone.iter().map(|g| &g.how).collect::<Vec<_>>(), [&Stopped, &Error, &Lost, &Passed]);
+        assert!(read.gone.iter().all(|g| g.attempt == 72 && g.task.job == "wk-1"));
+    }
+    assert!(matches!(in_production(Message::Hello), production::Message::Hello));
+}
+
+// A member says what it can do in its own key, which ends with its lease: when
+// its process comes back with the version of before, the key says nothing of it.
+#[test]
+fn production_reads_a_member_that_runs_gangs() {
+    let written = json!(Member::of_this_version(9));
+    let read: production::Member = serde_json::from_value(written).expect("it is read");
+    assert_eq!(read.inc, 9);
+    let of_before: Member = serde_json::from_value(json!({"inc": 9})).expect("it is read");
+    assert_eq!((of_before.capability, json!(of_before)), (0, json!({"inc": 9})));
+}
+
+// Finished tasks of jobs that fit one chunk under the limits to come are the
+// same bytes under the same key in both versions; those of larger jobs have keys
+// of their own, which production leaves alone, and both are read together.
+#[test]
+fn finished_tasks_are_read_in_either_size() {
+    let (now, later) = (tasks_per_chunk(8.0), tasks_per_chunk(2.0));
+    let whole = chunks_covering(&[0, 2], 3, later);
+    assert_eq!(whole, [ChunkRange { chunk: Chunk::Numbered(0), first: 0, len: 3 }]);
+    assert_eq!(whole[0].chunk.key("wk-1"), "fw/f/wk-1/0");
+    assert_eq!(chunks_covering(&[0, 2], 3, now), whole);
+    let ranges = chunks_covering(&[1, 5000, 19_999], 20_000, later);
+    assert_eq!(
+        ranges.iter().map(|r| (r.first, r.len)).collect::<Vec<_>>(),
+        [(0, 4096), (4096, 4096), (16_384, 3616)]
+    );
+    let mut m = Mirror::new(8.0);
+    for (i, (key, value)) in state().into_iter().enumerate() {
+        m.put(key, value, 1 + i as u64);
+    }
+    let mut more = finchwood::finished::Bits::default();
+    for task in [1, 5000, 19_999] {
+        more.add(task);
+    }
+    for (i, r) in ranges.iter().enumerate() {
+        let value: Value = more.hex(r.first, r.len).into();
+        assert!(value.to_string().len() <= 2048, "within the limits to come");
+        m.put(&r.chunk.key("wk-5"), value, 100 + i as u64);
+    }
+    assert_eq!(m.jobs["wk-5"].finished.iter().collect::<Vec<_>>(), [0, 1, 5000, 16_385, 19_999]);
+    assert_eq!(m.jobs["wk-5"].chunks.len(), 5);
+    // No sense in the key or beyond what a job may have: left out.
+    for key in ["fw/f/wk-5/at/x", "fw/f/wk-5/at/4000000000", "fw/f/wk-5/4000000000", "fw/f/wk-5/at/99999"] {
+        m.put(key, "ffff".into(), 200);
+    }
+    assert!(m.jobs["wk-5"].finished.len() <= 6);
+}
