--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -6,21 +6,13 @@
 use super::{Controller, Tag};
 use crate::clock::{self, Secs};
 use crate::jobs::{page_key, RosterPage, RosterRecord};
+use crate::pages::{self, PageCopies, PageLimit, PageQueue};
 use crate::rent::Offer;
 use crate::state::{Class, Op, Outcome, Write};
 use crate::wire::MachineId;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// Bytes that a machine takes on a page, with room to spare for its address.
-const MACHINE_BYTES: usize = 40;
-
-/// Bytes that a page takes beside its machines, with room to spare.
-const PAGE_BYTES: usize = 160;
-
-/// The largest page, whatever the limits are: it is written anew with every change.
-const LARGEST_PAGE_BYTES: usize = 16 * 1024;
-
 /// What the leader is writing to the roster.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -31,8 +23,8 @@
     found: u64,
     /// Answered writes that the mirror may not show yet.
     tried: HashMap<Arc<str>, Secs>,
-    /// Since when pages wait to be written.
-    waiting: HashMap<Arc<str>, Secs>,
+    /// Pages that wait to be written.
+    queue: PageQueue,
 }
 
 impl Roster {
@@ -42,15 +34,13 @@
 }
 
 impl Controller {
-    /// How many machines a page may hold.
-    pub(super) fn page_size(&self) -> usize {
-        let bytes = self.settings.params.state.lowest_value_bytes().min(LARGEST_PAGE_BYTES);
-        (bytes.saturating_sub(PAGE_BYTES) / MACHINE_BYTES).max(1)
+    fn page_limit(&self) -> PageLimit {
+        PageLimit::new(self.settings.params.state.lowest_value_bytes())
     }
 
     /// Puts machines of one kind on their way to the roster.
     pub(super) fn enlist(&mut self, ids: Vec<MachineId>, name: &str, record: &RosterRecord) {
-        for (n, chunk) in ids.chunks(self.page_size()).enumerate() {
+        for (n, chunk) in ids.chunks(self.page_limit().machines()).enumerate() {
             let key: Arc<str> = page_key(&format!("{name}.{n}")).into();
             for id in chunk {
                 self.roster.fresh.insert(id.clone(), (key.clone(), record.clone()));
@@ -136,54 +126,19 @@
                 }
             }
         }
-        let copied = self.split_pages(&mut pages);
+        let copied = pages::split_long(&mut pages, &self.mirror.pages, self.page_limit());
         self.write_pages(pages, &copied, now);
         let roster = &self.mirror.roster;
         let forget = self.settings.params.cloud.list_lag_s * 4.0 + self.settings.params.workers.lease_s;
         self.renting.deleted.retain(|id, t| now - *t < forget || roster.contains_key(id));
     }
 
-    /// Pages that are longer than the state service will take are replaced by
-    /// several: first copies of their pieces are written, and once all are there,
-    /// the page is deleted. Returns, for each page to be deleted, the versions
-    /// of its copies, under which alone it may go.
-    ///
-    /// Guard: production's leader may write to the old page meanwhile. A copy
-    /// that isn't the same any more is written again before anything is deleted.
-    fn split_pages(&self, pages: &mut BTreeMap<Arc<str>, RosterPage>) -> PageCopies {
-        let limit = self.settings.params.state.lowest_value_bytes();
-        let stored = |key: &Arc<str>| self.mirror.pages.get(key);
-        let pieces_of = |key: &Arc<str>, page: &RosterPage| pieces(key, page, self.page_size());
-        let mut long: BTreeMap<Arc<str>, RosterPage> = BTreeMap::new();
-        for (key, stored) in &self.mirror.pages {
-            let page = pages.get(key).unwrap_or(&stored.page);
-            if is_long(page, limit) {
-                long.insert(key.clone(), page.clone());
-            }
-        }
-        let mut copies = PageCopies::new();
-        for (key, mut page) in long {
-            let copied: Vec<(Arc<str>, RosterPage)> = pieces_of(&key, &page);
-            pages.remove(&key);
-            let same = |(k, p): &(Arc<str>, RosterPage)| stored(k).is_some_and(|s| s.page == *p);
-            if copied.iter().all(same) {
-                let versions = copied.iter().filter_map(|(k, _)| Some((k.to_string(), stored(k)?.version)));
-                copies.insert(key.clone(), versions.collect());
-                page.machines.clear();
-                pages.insert(key, page);
-            } else {
-                pages.extend(copied);
-            }
-        }
-        copies
-    }
-
     /// Writes pages that have no write under way, as many at a time as half a
     /// transaction holds: the longer it takes, the more goes into the next.
     fn write_pages(&mut self, pages: BTreeMap<Arc<str>, RosterPage>, copies: &PageCopies, now: Secs) {
         let most = (self.settings.params.state.lowest_txn_ops() / 2).max(2);
         let known = |key: &Arc<str>| self.mirror.pages.get(key).map(|p| p.page.machines.len());
-        for (key, page) in in_turn(pages, known, &mut self.roster.waiting, now) {
+        for (key, page) in self.roster.queue.in_turn(pages, known, now) {
             if self.roster.writing.len() >= most {
                 return;
             }
@@ -212,7 +167,7 @@
             }
             tracing::debug!(%key, version, left = keep.as_ref().map_or(0, |p| p.machines.len()), "writing a page");
             // What changes on it from now on waits anew.
-            self.roster.waiting.remove(&key);
+            self.roster.queue.written(&key);
             self.roster.writing.sent(serial, key, keep);
         }
     }
@@ -234,85 +189,3 @@
         }
     }
 }
-
-/// For each page that its copies replace, their keys and versions.
-type PageCopies = BTreeMap<Arc<str>, Vec<(String, u64)>>;
-
-/// Whether a page is longer than a value of the state service may be.
-fn is_long(page: &RosterPage, limit: usize) -> bool {
-    // The exact length takes time, and most pages are far below the limit.
-    page.machines.len() > 1
-        && PAGE_BYTES + page.machines.len() * MACHINE_BYTES > limit
-        && serde_json::to_vec(page).map_or(0, |bytes| bytes.len()) > limit
-}
-
-/// A page's machines on pages of at most `size`.
-fn pieces(key: &Arc<str>, page: &RosterPage, size: usize) -> Vec<(Arc<str>, RosterPage)> {
-    let ids: Vec<&MachineId> = page.machines.keys().collect();
-    let mut pieces = Vec::new();
-    for (number, ids) in ids.chunks(size).enumerate() {
-        let machines = ids.iter().map(|id| ((*id).clone(), page.machines[*id].clone())).collect();
-        pieces.push((format!("{key}.{number}").into(), RosterPage { machines, ..page.clone() }));
-    }
-    pieces
-}
-
-/// Pages in the order in which they are to be written: those that machines are
-/// gone from, as proof may wait for it, then who waits longest. In the order of
-/// their names the last would never be written while there is much to write.
-fn in_turn(
-    pages: BTreeMap<Arc<str>, RosterPage>,
-    known: impl Fn(&Arc<str>) -> Option<usize>,
-    waiting: &mut HashMap<Arc<str>, Secs>,
-    now: Secs,
-) -> Vec<(Arc<str>, RosterPage)> {
-    waiting.retain(|key, _| pages.contains_key(key));
-    let mut order: Vec<(bool, Secs, Arc<str>, RosterPage)> = Vec::new();
-    for (key, page) in pages {
-        let since = *waiting.entry(key.clone()).or_insert(now);
-        let shrinks = known(&key).is_some_and(|n| page.machines.len() < n);
-        order.push((!shrinks, since, key, page));
-    }
-    order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-    order.into_iter().map(|(_, _, key, page)| (key, page)).collect()
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn page(machines: usize) -> RosterPage {
-        RosterPage {
-            kind: "k".into(),
-            zone: "e".into(),
-            spot: false,
-            at_ms: 0,
-            machines: (0..machines).map(|i| (format!("m-{i}").into(), None)).collect(),
-        }
-    }
-
-    /// Two pages are written at a time, and the first two change all the while.
-    #[test]
-    fn pages_get_their_turn_and_those_that_shrink_go_first() {
-        let mut waiting = HashMap::new();
-        let mut open: BTreeMap<Arc<str>, RosterPage> = BTreeMap::new();
-        let mut written: Vec<Arc<str>> = Vec::new();
-        open.insert("z".into(), page(3));
-        for round in 0..4 {
-            for name in ["a", "b", "c"] {
-                open.insert(name.into(), page(3));
-            }
-            for (key, _) in
-                in_turn(open.clone(), |_| Some(3), &mut waiting, f64::from(round)).into_iter().take(2)
-            {
-                open.remove(&key);
-                waiting.remove(&key);
-                written.push(key);
-            }
-        }
-        assert!(written.iter().any(|k| **k == *"z"), "never written: {written:?}");
-        open.insert("y".into(), page(2));
-        let next = in_turn(open, |_| Some(3), &mut waiting, 9.0);
-        assert_eq!(&*next[0].0, "y", "a machine is gone from it");
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod jobs;
 pub mod membership;
+pub mod pages;
 pub mod peer;
 pub mod place;
 pub mod policy;
--- /dev/null
+++ b/tests/roster_pages.rs
@@ -0,0 +1,82 @@
+//! Pages of the roster: who is written first, and how a page that is longer than
+//! the state service will take is replaced.
+
+use finchwood::jobs::{Mirror, RosterPage};
+use finchwood::pages::{split_long, PageLimit, PageQueue, Pages};
+use serde_json::json;
+use std::sync::Arc;
+
+fn page(machines: usize) -> RosterPage {
+    RosterPage {
+        kind: "k".into(),
+        zone: "e".into(),
+        spot: false,
+        at_ms: 0,
+        machines: (0..machines).map(|i| (format!("m-{i:06}").into(), None)).collect(),
+    }
+}
+
+/// Two pages are written at a time, and the first two change all the while.
+#[test]
+fn pages_get_their_turn_and_those_that_shrink_go_first() {
+    let mut queue = PageQueue::default();
+    let mut open = Pages::new();
+    let mut written: Vec<Arc<str>> = Vec::new();
+    open.insert("z".into(), page(3));
+    for round in 0..4 {
+        for name in ["a", "b", "c"] {
+            open.insert(name.into(), page(3));
+        }
+        for (key, _) in queue.in_turn(open.clone(), |_| Some(3), f64::from(round)).into_iter().take(2) {
+            open.remove(&key);
+            queue.written(&key);
+            written.push(key);
+        }
+    }
+    assert!(written.iter().any(|k| **k == *"z"), "never written: {written:?}");
+    open.insert("y".into(), page(2));
+    let next = queue.in_turn(open, |_| Some(3), 9.0);
+    assert_eq!(&*next[0].0, "y", "a machine is gone from it");
+}
+
+/// A leader of the version before has written a page of 128 machines; values
+/// will be of two kilobytes. At no moment is a machine on no page or marked as
+/// never used that was, whoever writes in between.
+#[test]
+fn a_long_page_is_replaced_by_copies_and_only_then_deleted() {
+    let limit = PageLimit::new(2048);
+    let mut mirror = Mirror::new(16.0);
+    let mut revision = 1;
+    let mut long = page(128);
+    mirror.put("fw/r/found-7-1.0", json!(long), revision);
+    let mut deleted = false;
+    for round in 0..20 {
+        let mut to_write = Pages::new();
+        let copies = split_long(&mut to_write, &mirror.pages, limit);
+        for (key, page) in to_write {
+            revision += 1;
+            if page.machines.is_empty() {
+                // Only if neither the page nor its copies have changed.
+                let same = copies[&key].iter().all(|(k, v)| mirror.pages[k.as_str()].version == *v);
+                assert!(same && !copies[&key].is_empty());
+                mirror.apply(finchwood::state::Event::Delete { key: key.to_string(), version: revision });
+                deleted = true;
+            } else {
+                assert!(json!(page).to_string().len() <= 2048);
+                mirror.put(&key, json!(page), revision);
+            }
+            assert_eq!(mirror.roster.len(), 128, "round {round}");
+        }
+        // Meanwhile the old leader marks a machine as up.
+        if round < 3 && !deleted {
+            let id: Arc<str> = format!("m-{:06}", round * 40).into();
+            long.machines.insert(id, Some("10.0.0.1:9000".into()));
+            revision += 1;
+            mirror.put("fw/r/found-7-1.0", json!(long), revision);
+        }
+    }
+    assert!(deleted);
+    let up = mirror.roster.values().filter(|(r, _)| r.up).count();
+    assert_eq!(up, long.machines.values().filter(|a| a.is_some()).count());
+    assert!(mirror.pages.values().all(|p| json!(p.page).to_string().len() <= 2048));
+}
