--- /dev/null
+++ b/src/fleet/leases.rs
@@ -0,0 +1,72 @@
+//! What ends with a worker's lease, and what has to leave machines that will be
+//! taken.
+
+use super::{Part, Phase, Stop};
+use crate::clock::{self, Secs};
+use crate::jobs::Mirror;
+use crate::wire::{MachineId, Shape};
+
+impl Part {
+    /// A worker that has had no answer for the whole of its lease has killed
+    /// its tasks: only this owner answers it (an earlier one was fenced before
+    /// this epoch), so what it held is nowhere, even if the machine itself
+    /// can't be seen. A session it was answered in is over for good.
+    pub fn lapse(&mut self, now: Secs) {
+        let limit = clock::surely(self.timing.lease_s);
+        // An earlier owner may have been left out of the epoch while it was
+        // alive, and answers until it reads so or its own lease's time is up.
+        let entered = self.entered + clock::surely(self.timing.member_life_s);
+        let silent: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| {
+                // Guard: a session without an answer has its lease from when it
+                // began. A worker that reports to nobody begins one after the
+                // other, and direct commands start tasks in each.
+                let renewed = m.answered.unwrap_or(entered).max(m.session_seen);
+                !m.in_flight && now - renewed > limit
+            })
+            .filter(|(_, m)| !m.certain || m.session > m.over)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            if let Some(m) = self.machines.get_mut(&id) {
+                tracing::info!(%id, session = m.session, "a worker's lease is past");
+                m.certain = true;
+                m.over = m.session;
+                m.lines.clear();
+                let below = m.session + 1;
+                self.lose(&id, below);
+                self.dirty = true;
+            }
+        }
+    }
+
+    /// Stops what has to move off machines that will be taken.
+    pub fn heed_notices(&mut self, mirror: &Mirror, now: Secs) {
+        let mut moving = Vec::new();
+        let noticed = self.machines.iter().filter_map(|(id, m)| Some((id, m.notice_until?)));
+        for (until, (task, h)) in noticed.flat_map(|(id, until)| self.held.on(id).map(move |t| (until, t))) {
+            let Some(p) = &h.at else { continue };
+            if p.stop.is_some() || p.phase == Phase::Done {
+                continue;
+            }
+            let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref()) else {
+                continue;
+            };
+            // The leader stops a gang as a whole.
+            if spec.shape == Shape::Gang {
+                continue;
+            }
+            let left = spec.estimate_s - (now - p.since);
+            let ends_in_time =
+                p.phase == Phase::Running && spec.shape == Shape::Array && now + left.max(0.0) < until;
+            if !ends_in_time {
+                moving.push((task.clone(), h.attempt));
+            }
+        }
+        for (task, attempt) in moving {
+            self.recall(&task, attempt, Stop::Notice);
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/machine.rs
@@ -0,0 +1,197 @@
+//! One machine as its owner knows it: its worker's session, what it showed last
+//! and which signs of trouble it gives.
+
+use super::Timing;
+use crate::clock::Secs;
+use crate::jobs::Mirror;
+use crate::membership::{token, token_epoch, MOST_COUNTER};
+use crate::wire::{Call, JobId, Report, Task, TaskState};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+/// A worker that has answered direct commands for so many intervals without one
+/// report is mute: it goes round all controllers in less.
+const MUTE_REPORTS: f64 = 3.5;
+
+#[derive(Debug, Clone)]
+pub(super) struct Machine {
+    pub(super) kind: Arc<str>,
+    pub(super) zone: Arc<str>,
+    pub(super) spot: bool,
+    pub(super) addr: Option<Arc<str>>,
+    /// When the first command was sent that it has not answered.
+    pub(super) asked: Option<Secs>,
+    /// Since when it does not answer, asked after a silence, while others of
+    /// its zone are reached.
+    pub(super) deaf: Option<Secs>,
+    pub(super) listed: bool,
+    pub(super) up: bool,
+    pub(super) certain: bool,
+    pub(super) session: u64,
+    pub(super) seq: u64,
+    pub(super) counter: u64,
+    pub(super) heard: Option<Secs>,
+    /// When this part came to know of it.
+    pub(super) since: Secs,
+    /// When it was last sent an answer that renews its lease.
+    pub(super) answered: Option<Secs>,
+    /// When its present session was first seen: it can't have begun later.
+    pub(super) session_seen: Secs,
+    /// Sessions up to this one have ended, by the length of their lease.
+    pub(super) over: u64,
+    pub(super) lines: BTreeMap<Task, (u64, TaskState, Option<String>)>,
+    pub(super) notice_until: Option<Secs>,
+    pub(super) draining: bool,
+    pub(super) errors: HashSet<JobId>,
+    pub(super) in_flight: bool,
+    pub(super) direct_bad_until: Secs,
+    pub(super) idle_since: Secs,
+    pub(super) images: VecDeque<(Arc<str>, f64)>,
+    pub(super) probe: bool,
+    /// The first answer that the worker has not shown to have seen.
+    pub(super) unheeded: Option<Unheeded>,
+    /// When its token was last raised only to see whether it follows.
+    pub(super) tested: Option<Secs>,
+    /// Direct commands answered without any report between.
+    pub(super) unreported: Option<Unreported>,
+}
+
+/// For how long a machine has answered direct commands without a report.
+#[derive(Debug, Clone)]
+pub(super) struct Unreported {
+    pub(super) since: Secs,
+    pub(super) last: Secs,
+}
+
+/// An answer that shows no effect.
+#[derive(Debug, Clone)]
+pub(super) struct Unheeded {
+    pub(super) token: u64,
+    pub(super) since: Secs,
+    pub(super) answers: u32,
+}
+
+impl Machine {
+    pub(super) fn unknown(now: Secs) -> Machine {
+        Machine {
+            kind: "".into(),
+            zone: "".into(),
+            spot: false,
+            addr: None,
+            asked: None,
+            deaf: None,
+            listed: false,
+            up: false,
+            certain: false,
+            session: 0,
+            seq: 0,
+            counter: 0,
+            heard: None,
+            since: now,
+            answered: None,
+            session_seen: 0.0,
+            over: 0,
+            lines: BTreeMap::new(),
+            notice_until: None,
+            draining: false,
+            errors: HashSet::new(),
+            in_flight: false,
+            direct_bad_until: 0.0,
+            idle_since: now,
+            images: VecDeque::new(),
+            probe: false,
+            unheeded: None,
+            tested: None,
+            unreported: None,
+        }
+    }
+
+    pub(super) fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|i| &*i.0 == image)
+    }
+
+    /// A machine on which tasks of two jobs failed is taken out of use.
+    pub(super) fn faulty(&self) -> bool {
+        self.errors.len() >= 2
+    }
+
+    /// Notes what a report shows of whether our answers reach the machine. A
+    /// worker whose report came through another controller may hear nobody at
+    /// all, so it is told a higher token now and then: it must show it.
+    pub(super) fn heed(&mut self, r: &Report, epoch: u64, relayed: bool, timing: Timing, now: Secs) {
+        let mine = token_epoch(r.token) == epoch;
+        if self.unheeded.as_ref().is_some_and(|u| r.token >= u.token) {
+            self.unheeded = None;
+        }
+        // Its lease ran out although it was answered well within it.
+        let risen = mine && self.session > 0 && r.session > self.session;
+        let tested = self.tested.is_some_and(|t| now - t < timing.lease_s / 2.0);
+        if (risen || relayed && !tested) && mine {
+            self.counter += 1;
+            self.tested = Some(now);
+        }
+    }
+
+    /// An answer with `token` went out to a report that showed `seen`.
+    pub(super) fn told(&mut self, seen: u64, token: u64, now: Secs) {
+        if seen < token {
+            let u = self.unheeded.get_or_insert(Unheeded { token, since: now, answers: 0 });
+            u.answers += 1;
+        }
+    }
+
+    /// An answer has not been heeded for longer than its worker takes to
+    /// report again: no new work until it is.
+    pub(super) fn suspect(&self, report_s: Secs, now: Secs) -> bool {
+        self.unheeded.as_ref().is_some_and(|u| u.answers >= 2 && now - u.since > report_s * 1.5)
+            || self.mute_for(now) > report_s * MUTE_REPORTS * 0.75
+    }
+
+    /// It answers direct commands but doesn't report: those renew no lease, so
+    /// that what runs there will be killed, and what is started anew as well.
+    pub(super) fn mute(&self, report_s: Secs, now: Secs) -> bool {
+        self.mute_for(now) > report_s * MUTE_REPORTS
+    }
+
+    pub(super) fn mute_for(&self, now: Secs) -> Secs {
+        self.unreported.as_ref().map_or(0.0, |u| now - u.since)
+    }
+
+    /// It answered a direct command. Guard: where none was sent for a while, as
+    /// this node had no right to command, reports were refused too, and what
+    /// went before says nothing: an outage made half a fleet look mute.
+    pub(super) fn obeyed(&mut self, report_s: Secs, now: Secs) {
+        match &mut self.unreported {
+            Some(u) if now - u.last < report_s * MUTE_REPORTS / 1.5 => u.last = now,
+            _ => self.unreported = Some(Unreported { since: now, last: now }),
+        }
+    }
+
+    /// Its token can't be raised any more: no start there could be proven dead.
+    pub(super) fn spent(&self) -> bool {
+        self.counter >= MOST_COUNTER
+    }
+
+    /// Stops for what it showed to run of cancelled jobs. They need no proof of
+    /// what else is there: an answer without them renewed such tasks again and
+    /// again while owners changed faster than a worker reports.
+    pub(super) fn cancelled_stops(&self, mirror: &Mirror) -> Vec<Call> {
+        let over = |t: &Task| mirror.jobs.get(&t.job).is_some_and(|j| j.record.cancelled);
+        let runs = self.lines.iter().filter(|(t, l)| l.1 != TaskState::Ended && over(t));
+        runs.map(|(t, l)| Call::Stop { task: t.to_string(), attempt: l.0, grace_s: 0.0 }).collect()
+    }
+
+    /// Its reports arrive, but nothing that it is answered or told reaches it:
+    /// for so long that one lost answer, after which a worker tries other
+    /// controllers first, can't be why.
+    pub(super) fn heedless(&self, report_s: Secs, now: Secs) -> bool {
+        self.unheeded.as_ref().is_some_and(|u| u.answers >= 3 && now - u.since > report_s * 3.0)
+    }
+
+    /// Makes the token higher than `floor`, if it isn't.
+    pub(super) fn raise(&mut self, epoch: u64, floor: u64) {
+        if floor != u64::MAX && token(epoch, self.counter) <= floor {
+            self.counter += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/messages.rs
@@ -0,0 +1,171 @@
+//! What a part and the leader tell each other. The names of fields and variants
+//! are read by other versions.
+
+use crate::silence::Reached;
+use crate::wire::{JobId, MachineId, Res, Task};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// How a task left this part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Leave {
+    /// Stopped by our command.
+    Stopped,
+    /// Failed on its machine.
+    Error,
+    /// Gone with its machine or session.
+    Lost,
+    /// Nothing here could take it, or the worker refused it.
+    Passed,
+}
+
+/// A task that is certainly nowhere in this part any more.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Gone {
+    pub task: Task,
+    pub attempt: u64,
+    pub how: Leave,
+    pub machine: Option<MachineId>,
+    /// The assignment that it was held under; 0 if the version doesn't say.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub assignment: u64,
+    pub(super) seq: u64,
+}
+
+/// What a held task is doing, as the leader sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    Queued,
+    Starting,
+    Fetching,
+    Running,
+    Saving,
+    Done,
+}
+
+/// One held task in a part's report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeldView {
+    pub task: Task,
+    pub attempt: u64,
+    pub phase: Phase,
+    pub machine: Option<MachineId>,
+    /// The assignment that it is held under; 0 if the version doesn't say.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub assignment: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// One machine in a part's report: everything but how long ago things were,
+/// so that a machine on which nothing happens need not be told again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineView {
+    pub id: MachineId,
+    pub kind: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    /// What it holds is known under this owner's token.
+    pub certain: bool,
+    /// Heard of at all.
+    pub heard: bool,
+    /// On the roster.
+    pub listed: bool,
+    pub addr: Option<Arc<str>>,
+    pub free: Res,
+    /// What lower work than the highest rank's would give up for that.
+    pub yielding: Res,
+    /// Takes new tasks.
+    pub open: bool,
+    pub noticed: bool,
+    pub faulty: bool,
+    /// Only one way between it and its owner is open: its reports arrive, but it
+    /// acts on nothing it is answered, or it obeys direct commands but doesn't
+    /// report. Its worker's lease runs out all the same.
+    pub heedless: bool,
+    pub draining: bool,
+    pub tasks: u32,
+    /// Images that are likely cached there, by name.
+    pub images: Vec<Arc<str>>,
+}
+
+/// A machine that has not been heard for a while.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Quiet {
+    pub id: MachineId,
+    pub silent_s: f64,
+    /// Since when it has not answered when asked, while others of its zone were
+    /// reached.
+    pub deaf_s: Option<f64>,
+}
+
+/// What a part tells the leader: all that changed since report `since`, which
+/// the leader is known to have taken in (0: the whole). Everything in it is
+/// absolute, so that hearing a change twice does no harm; a report whose
+/// `since` the leader doesn't have is dropped by it and told again.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PartReport {
+    pub epoch: u64,
+    pub node: String,
+    pub inc: u64,
+    /// All that was known in the epoch before is known still.
+    #[serde(default)]
+    pub kept: bool,
+    pub since: u64,
+    pub seq: u64,
+    pub machines: Vec<MachineView>,
+    /// Machines that are no longer this part's.
+    pub unlisted: Vec<(MachineId, u64)>,
+    pub held: Vec<HeldView>,
+    pub gone: Vec<Gone>,
+    /// Tasks no longer held that need no word: committed as finished.
+    pub dropped: Vec<(Task, u64, u64)>,
+    /// All machines that are silent now, whether that is new or not.
+    pub quiet: Vec<Quiet>,
+    /// How zones are reached with nobody in between.
+    pub zones_met: Vec<(Arc<str>, Reached)>,
+    /// Machines of other parts that came here, and how long ago.
+    pub met: Vec<(MachineId, f64)>,
+}
+
+/// Tasks of one job dealt to a part.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Deal {
+    pub job: JobId,
+    /// Number and attempt.
+    pub tasks: Vec<(u32, u64)>,
+    /// For jobs whose tasks depend on each other: how many more each zone may take.
+    pub zone_room: Option<Vec<(Arc<str>, u32)>>,
+    pub avoid: Vec<MachineId>,
+    /// Number and assignment of tasks whose attempt is older than their
+    /// assignment: those of gangs, which share one attempt. Versions without
+    /// gangs leave this out and take no such task twice.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub assignments: Vec<(u32, u64)>,
+}
+
+impl Deal {
+    /// The assignment of a task: its attempt, if nothing else is said.
+    pub(super) fn assignment(&self, index: u32, attempt: u64) -> u64 {
+        self.assignments.iter().find(|(i, _)| *i == index).map_or(attempt, |(_, assignment)| *assignment)
+    }
+}
+
+/// All that the leader tells a part.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Orders {
+    pub epoch: u64,
+    pub node: String,
+    pub seq: u64,
+    /// The newest report of the part that the leader has taken in.
+    pub ack: u64,
+    pub deals: Vec<Deal>,
+    /// Tasks to give back.
+    pub recall: Vec<(Task, u64)>,
+    /// Machines that take no more tasks.
+    pub drain: Vec<MachineId>,
+    /// Running tasks per job, for display; told now and then.
+    pub running: Option<Vec<(JobId, u32)>>,
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,438 @@
+//! A part of the fleet: the machines that hash to this controller, what runs
+//! on them, and the commands they are due. Pure: time comes in, commands go
+//! out as values.
+//!
+//! The one thing that must never happen is a task starting while it is
+//! somewhere else. A task held here leaves this part only on proof: it was
+//! seen ended, its machine is off the roster, its worker began a new session,
+//! or a report under a token above that of the last start doesn't list it.
+
+mod commands;
+mod leases;
+mod machine;
+mod messages;
+mod placement;
+mod reports;
+mod snapshot;
+
+pub use commands::{Direct, DirectRoom, ReportReply};
+pub use messages::{Deal, Gone, HeldView, Leave, MachineView, Orders, PartReport, Phase, Quiet};
+
+use crate::clock::Secs;
+use crate::held::Holdings;
+use crate::jobs::{Mirror, RosterRecord};
+use crate::silence::Stretch;
+use crate::wire::{JobId, JobSpec, MachineId, Rank, Shape, Task, START_COUNTS_S};
+use machine::Machine;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// A worker that has not reported for so many intervals is late, and is asked:
+/// they vary by a quarter.
+const LATE_REPORTS: f64 = 1.3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stop {
+    Cancelled,
+    Recalled,
+    Preempted,
+    Notice,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub machine: MachineId,
+    pub session: u64,
+    pub phase: Phase,
+    /// The token under which the last start was sent (or the task adopted);
+    /// the highest number while no start can be under way.
+    pub start_token: u64,
+    pub sent: bool,
+    pub confirmed: bool,
+    pub stop: Option<Stop>,
+    pub stop_sent: bool,
+    pub since: Secs,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub attempt: u64,
+    /// Tells one assignment of an attempt from the next.
+    pub assignment: u64,
+    pub at: Option<Place>,
+    pub since: Secs,
+    pub avoid: Vec<MachineId>,
+    /// As the leader was last told, and in which report.
+    pub told: Option<Told>,
+}
+
+/// What a report said of a task, and which.
+#[derive(Debug, Clone)]
+pub(crate) struct Told {
+    pub attempt: u64,
+    pub phase: Phase,
+    pub machine: Option<MachineId>,
+    pub seq: u64,
+}
+
+/// Zone bounds of a job whose tasks depend on each other.
+#[derive(Debug, Clone, Default)]
+struct Bounds {
+    room: BTreeMap<Arc<str>, u32>,
+}
+
+/// Settings that a part needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    pub report_s: Secs,
+    pub lease_s: Secs,
+    /// The longest that a member left out of an epoch may not know of it.
+    pub member_life_s: Secs,
+}
+
+/// A part of the fleet.
+#[derive(Debug)]
+pub struct Part {
+    node: String,
+    timing: Timing,
+    /// Classes with an aim for their start.
+    start_aims: HashMap<Arc<str>, f64>,
+    epoch: u64,
+    entered: Secs,
+    inc: u64,
+    kept: bool,
+    machines: BTreeMap<MachineId, Machine>,
+    held: Holdings,
+    gone: Vec<Gone>,
+    dropped: Vec<(Task, u64, u64)>,
+    unlisted: Vec<(MachineId, u64)>,
+    /// Machines as the leader was last told, and in which report.
+    told: HashMap<MachineId, (MachineView, u64)>,
+    /// The newest report that the leader has taken in.
+    acked: u64,
+    /// The highest assignment seen of each task: a late copy of a deal does nothing.
+    seen: HashMap<Task, u64>,
+    bounds: HashMap<JobId, Bounds>,
+    /// How zones are reached with nobody in between.
+    reached: BTreeMap<Arc<str>, Stretch>,
+    seq: u64,
+    orders_seq: u64,
+    /// Something changed that the leader should hear.
+    pub dirty: bool,
+}
+
+/// A task with its attempt.
+type Attempt = (Task, u64);
+
+impl Part {
+    /// An empty part, a member of no epoch.
+    pub fn new(node: &str, timing: Timing, start_aims: HashMap<Arc<str>, f64>) -> Part {
+        Part {
+            node: node.into(),
+            timing,
+            start_aims,
+            epoch: 0,
+            entered: 0.0,
+            inc: 0,
+            kept: false,
+            machines: BTreeMap::new(),
+            held: Holdings::default(),
+            gone: Vec::new(),
+            dropped: Vec::new(),
+            unlisted: Vec::new(),
+            told: HashMap::new(),
+            acked: 0,
+            seen: HashMap::new(),
+            bounds: HashMap::new(),
+            reached: BTreeMap::new(),
+            seq: 0,
+            orders_seq: 0,
+            dirty: true,
+        }
+    }
+
+    /// The epoch this part acts in.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Enters an epoch. What was known is kept only if this incarnation was a
+    /// member of the epoch just before: otherwise somebody else may have
+    /// owned the machines in between.
+    pub fn enter(&mut self, epoch: u64, inc: u64, mirror: &Mirror, now: Secs, owns: impl Fn(&str) -> bool) {
+        let stays = inc == self.inc && epoch == self.epoch + 1;
+        if !stays {
+            let fresh = Part::new(&self.node, self.timing, std::mem::take(&mut self.start_aims));
+            *self = fresh;
+        }
+        self.epoch = epoch;
+        self.entered = now;
+        self.inc = inc;
+        self.kept = stays;
+        self.orders_seq = 0;
+        // The whole is told anew.
+        self.acked = 0;
+        self.told.clear();
+        self.dropped.clear();
+        self.unlisted.clear();
+        self.machines.retain(|id, _| owns(id));
+        let machines = &self.machines;
+        self.held.retain(|_, h| h.at.as_ref().is_none_or(|p| machines.contains_key(&p.machine)));
+        for (id, (record, _)) in &mirror.roster {
+            if owns(id) {
+                self.list(id, record, now);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A machine of this part is on the roster, or was changed there.
+    pub fn list(&mut self, id: &MachineId, record: &RosterRecord, now: Secs) {
+        let m = self.machines.entry(id.clone()).or_insert_with(|| Machine {
+            kind: record.kind.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            // Never used by anybody: the roster would say so.
+            certain: !record.up,
+            ..Machine::unknown(now)
+        });
+        m.listed = true;
+        m.up |= record.up;
+        if m.addr.is_none() {
+            m.addr.clone_from(&record.addr);
+        }
+        self.dirty = true;
+    }
+
+    /// A machine is off the roster: it and all that was on it are gone.
+    pub fn unlist(&mut self, id: &MachineId) {
+        if self.machines.remove(id).is_some() {
+            self.lose(id, u64::MAX);
+            self.unlisted.push((id.clone(), self.seq + 1));
+        }
+        self.dirty = true;
+    }
+
+    /// The machines of this part that are on the roster.
+    pub fn listed_machines(&self) -> Vec<MachineId> {
+        self.machines.iter().filter(|(_, m)| m.listed).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn lose(&mut self, id: &MachineId, below_session: u64) {
+        let lost: Vec<Task> = self
+            .held
+            .on(id)
+            .filter(|(_, h)| {
+                h.at.as_ref().is_some_and(|p| {
+                    p.session < below_session && p.phase != Phase::Done || below_session == u64::MAX
+                })
+            })
+            .map(|(t, _)| t.clone())
+            .collect();
+        for task in lost {
+            self.leave(&task, Leave::Lost);
+        }
+    }
+
+    fn leave(&mut self, task: &Task, how: Leave) {
+        if let Some(h) = self.held.remove(task) {
+            let how = match (&h.at, how) {
+                (Some(p), Leave::Lost) if p.stop.is_some() => Leave::Stopped,
+                _ => how,
+            };
+            tracing::debug!(%task, ?how, stop = ?h.at.as_ref().and_then(|p| p.stop), machine = ?h.at.as_ref().map(|p| &p.machine), "left");
+            self.gone.push(Gone {
+                task: task.clone(),
+                attempt: h.attempt,
+                how,
+                assignment: h.assignment,
+                machine: h.at.map(|p| p.machine),
+                seq: self.seq + 1,
+            });
+            self.dirty = true;
+        }
+    }
+
+    /// Takes in the leader's orders.
+    pub fn orders(&mut self, o: &Orders, mirror: &Mirror, now: Secs) {
+        if o.epoch != self.epoch || o.node != self.node {
+            return;
+        }
+        for deal in &o.deals {
+            let live = mirror.jobs.get(&deal.job).is_some_and(|j| j.live());
+            let mut fresh = false;
+            for &(index, attempt) in &deal.tasks {
+                let task = Task { job: deal.job.clone(), index };
+                let assignment = deal.assignment(index, attempt);
+                let seen = self.seen.entry(task.clone()).or_insert(0);
+                if assignment <= *seen {
+                    continue;
+                }
+                if !mirror.jobs.contains_key(&deal.job) {
+                    // The mirror is behind the leader's: the deal comes again.
+                    continue;
+                }
+                *seen = assignment;
+                fresh = true;
+                if let Some(old) = self.held.get(&task) {
+                    tracing::warn!(%task, old = old.attempt, attempt, "dealt a task that is held already");
+                    continue;
+                }
+                let avoid = deal.avoid.clone();
+                let held = Held { attempt, assignment, at: None, since: now, avoid, told: None };
+                self.held.insert(task.clone(), held);
+                if !live {
+                    self.leave(&task, Leave::Stopped);
+                }
+            }
+            if fresh {
+                if let Some(room) = &deal.zone_room {
+                    self.bounds.insert(deal.job.clone(), Bounds { room: room.iter().cloned().collect() });
+                }
+            }
+        }
+        self.dirty |= !o.deals.is_empty();
+        if o.seq <= self.orders_seq {
+            return;
+        }
+        self.orders_seq = o.seq;
+        self.acked = o.ack.min(self.seq);
+        self.gone.retain(|g| g.seq > o.ack);
+        self.dropped.retain(|d| d.2 > o.ack);
+        self.unlisted.retain(|u| u.1 > o.ack);
+        for (task, attempt) in &o.recall {
+            // One that has only just started is moved later: users count on
+            // a start for that long.
+            let young = self.held.get(task).and_then(|h| h.at.as_ref()).is_some_and(|p| {
+                p.phase == Phase::Running && p.stop.is_none() && now - p.since < START_COUNTS_S
+            });
+            // Guard: the tasks of a gang are stopped together or lose their progress.
+            let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
+            let gang = spec.is_some_and(|s| s.shape == Shape::Gang);
+            if !young || gang {
+                self.recall(task, *attempt, Stop::Recalled);
+            }
+        }
+        for (id, m) in &mut self.machines {
+            let drain = o.drain.contains(id);
+            self.dirty |= drain != m.draining;
+            m.draining = drain;
+        }
+    }
+
+    fn recall(&mut self, task: &Task, attempt: u64, why: Stop) {
+        let epoch = self.epoch;
+        if self.held.get(task).is_none_or(|h| h.attempt != attempt) {
+            return;
+        }
+        match self.held.place_mut(task) {
+            None => self.leave(task, Leave::Stopped),
+            // Saving for another start: nobody has any use for that any more, and
+            // it may take longer than a cancelled task may.
+            Some(p) if p.stop.is_some_and(|s| s != why) && why == Stop::Cancelled => {
+                p.stop = Some(why);
+                p.stop_sent = false;
+            }
+            Some(p) if p.stop.is_none() && p.phase != Phase::Done => {
+                p.stop = Some(why);
+                p.stop_sent = false;
+                if !p.confirmed {
+                    if p.start_token == u64::MAX {
+                        // No start was ever sent, or it is proven dead.
+                        return self.leave(task, Leave::Stopped);
+                    }
+                    let (id, floor) = (p.machine.clone(), p.start_token);
+                    if let Some(m) = self.machines.get_mut(&id) {
+                        m.raise(epoch, floor);
+                        m.probe = true;
+                    }
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// A job changed in the mirror: cancelled tasks are stopped, finished
+    /// ones are let go of.
+    pub fn job_changed(&mut self, id: &JobId, mirror: &Mirror) {
+        let Some(job) = mirror.jobs.get(id) else { return };
+        let from = Task { job: id.clone(), index: 0 };
+        let to = Task { job: id.clone(), index: u32::MAX };
+        let tasks: Vec<(Task, u64, bool)> = self
+            .held
+            .range(from..=to)
+            .map(|(t, h)| (t.clone(), h.attempt, h.at.as_ref().is_some_and(|p| p.phase == Phase::Done)))
+            .collect();
+        for (task, attempt, done) in tasks {
+            if done && finished(mirror, &task) {
+                self.drop_held(&task);
+            } else if job.record.cancelled {
+                self.recall(&task, attempt, Stop::Cancelled);
+            }
+        }
+        if job.record.done || job.record.cancelled {
+            self.bounds.remove(id);
+        }
+    }
+
+    /// Lets go of a task that needs no word to the leader beyond that.
+    fn drop_held(&mut self, task: &Task) {
+        if let Some(h) = self.held.remove(task) {
+            self.dropped.push((task.clone(), h.attempt, self.seq + 1));
+            self.dirty = true;
+        }
+    }
+
+    /// Forgets what nobody needs any more.
+    pub fn tidy(&mut self, mirror: &Mirror, now: Secs) {
+        let over: Vec<Task> = self
+            .held
+            .iter()
+            .filter(|(t, h)| h.at.as_ref().is_some_and(|p| p.phase == Phase::Done) && finished(mirror, t))
+            .map(|(t, _)| t.clone())
+            .collect();
+        for task in over {
+            self.drop_held(&task);
+        }
+        // Neither rented nor shown to be alive: a copy of a report, or a machine
+        // whose lease is past by now.
+        let (lease_s, entered) = (self.timing.lease_s, self.entered);
+        self.machines.retain(|_, m| m.listed || m.heard.is_some() || now - m.since.max(entered) < lease_s);
+        let held = &self.held;
+        self.seen.retain(|t, _| held.contains(t) || mirror.jobs.get(&t.job).is_none_or(|j| j.live()));
+    }
+
+    /// Machines heard of, for tests and logs.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+/// Whether a job's tasks may be stopped for one of `rank`.
+fn yields(spec: &JobSpec, rank: Rank) -> bool {
+    spec.rank > rank && spec.shape == Shape::Array
+}
+
+/// Whether a task needs no more runs, by what is committed.
+fn finished(mirror: &Mirror, task: &Task) -> bool {
+    mirror
+        .jobs
+        .get(&task.job)
+        .is_some_and(|j| j.record.done || j.record.cancelled || j.finished.has(task.index))
+}
+
+impl Place {
+    fn adopted(machine: &MachineId, session: u64, token: u64, now: Secs) -> Place {
+        Place {
+            machine: machine.clone(),
+            session,
+            phase: Phase::Running,
+            start_token: token,
+            sent: true,
+            confirmed: true,
+            stop: None,
+            stop_sent: false,
+            since: now,
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/placement.rs
@@ -0,0 +1,291 @@
+//! Which of the part's machines each queued task goes to, and what lower work
+//! is stopped for it.
+
+use super::machine::Machine;
+use super::{yields, Attempt, Leave, Part, Phase, Place, Stop};
+use crate::clock::{Secs, When};
+use crate::jobs::Mirror;
+use crate::place::{self, Candidate};
+use crate::wire::{JobId, JobSpec, MachineId, Rank, Res, Task, TaskState};
+use std::collections::{BTreeMap, HashMap};
+
+impl Part {
+    pub(super) fn machine_free(&self, id: &MachineId, m: &Machine, mirror: &Mirror) -> Res {
+        let Some(total) = mirror.catalog.as_ref().and_then(|c| c.get(&m.kind)).map(|t| t.total()) else {
+            return Res::default();
+        };
+        let mut free = total;
+        let spec = |job: &JobId| mirror.jobs.get(job).and_then(|j| j.record.spec.as_ref());
+        for (task, (_, state, _)) in &m.lines {
+            if *state != TaskState::Ended {
+                match spec(&task.job) {
+                    Some(s) => free.take(&s.ask()),
+                    None => return Res::default(),
+                }
+            }
+        }
+        for (task, h) in self.held.on(id) {
+            if m.lines.get(task).is_none_or(|l| l.0 != h.attempt) {
+                if let Some(s) = spec(&task.job) {
+                    free.take(&s.ask());
+                }
+            }
+        }
+        free
+    }
+
+    pub(super) fn open(&self, m: &Machine, now: Secs) -> bool {
+        m.up && m.listed
+            && m.certain
+            && !m.draining
+            && m.notice_until.is_none()
+            && !m.faulty()
+            && !m.suspect(self.timing.report_s, now)
+            && m.heard.is_some_and(|h| now - h < self.timing.report_s * 2.5)
+    }
+
+    /// Places what is queued, the highest rank first, until `more` says that
+    /// the round's time is over; the next round goes on with the rest.
+    pub fn place(&mut self, mirror: &Mirror, when: When, mut more: impl FnMut() -> bool) {
+        let now = when.now;
+        let mut queue: Vec<(Rank, Secs, Task)> = self
+            .held
+            .queued()
+            .filter_map(|(t, h)| {
+                let spec = mirror.jobs.get(&t.job)?.record.spec.as_ref()?;
+                Some((spec.rank, h.since, t.clone()))
+            })
+            .collect();
+        if queue.is_empty() {
+            return;
+        }
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let mut free: BTreeMap<MachineId, Res> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| self.open(m, now))
+            .map(|(id, m)| (id.clone(), self.machine_free(id, m, mirror)))
+            .collect();
+        let mut kept = Kept::default();
+        for (_, _, task) in queue {
+            if !more() {
+                self.dirty = true;
+                return;
+            }
+            let Some(spec) = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.clone()) else { continue };
+            let quick = place::in_a_hurry(&spec, &self.start_aims, mirror.catalog.as_deref());
+            let chosen = self.choose(&task, &spec, quick, &free, &kept);
+            let cold = |id: &MachineId| !self.machines.get(id).is_some_and(|m| m.has_image(&spec.image));
+            // Making room where the image is takes less time than fetching it.
+            let warmer = quick && chosen.as_ref().is_none_or(cold);
+            if warmer && self.make_room(&task, &spec, &free, &mut kept, true, mirror, when) {
+                continue;
+            }
+            match chosen {
+                Some(id) => {
+                    if let Some(f) = free.get_mut(&id) {
+                        f.take(&spec.ask());
+                    }
+                    self.put_on(&task, &spec, &id, mirror, now);
+                }
+                None => {
+                    if !self.make_room(&task, &spec, &free, &mut kept, false, mirror, when) {
+                        self.leave(&task, Leave::Passed);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn choose(
+        &self,
+        task: &Task,
+        spec: &JobSpec,
+        quick: bool,
+        free: &BTreeMap<MachineId, Res>,
+        kept: &Kept,
+    ) -> Option<MachineId> {
+        let held = self.held.get(task)?;
+        let bounds = self.bounds.get(&task.job);
+        let (mut zones, mut machines): (HashMap<&str, u32>, HashMap<&str, u32>) = Default::default();
+        if spec.whole() {
+            let from = Task { job: task.job.clone(), index: 0 };
+            let to = Task { job: task.job.clone(), index: u32::MAX };
+            for (_, h) in self.held.range(from..=to) {
+                if let Some(m) = h.at.as_ref().and_then(|p| Some((p, self.machines.get(&p.machine)?))) {
+                    *zones.entry(&m.1.zone).or_default() += 1;
+                    *machines.entry(&m.0.machine).or_default() += 1;
+                }
+            }
+        }
+        let candidates = free.iter().filter_map(|(id, f)| {
+            let m = self.machines.get(id)?;
+            if held.avoid.contains(id) || m.lines.contains_key(task) || kept.0.contains_key(id) {
+                return None;
+            }
+            if let Some(b) = bounds {
+                if b.room.get(&m.zone).copied().unwrap_or(0) == 0 {
+                    return None;
+                }
+            } else if spec.one_zone || spec.scatter {
+                return None;
+            }
+            Some(Candidate {
+                id,
+                kind: &m.kind,
+                zone: &m.zone,
+                spot: m.spot,
+                free: *f,
+                cached: m.has_image(&spec.image),
+                zone_peers: zones.get(&*m.zone).copied().unwrap_or(0),
+                machine_peers: machines.get(&**id).copied().unwrap_or(0),
+            })
+        });
+        place::pick(spec, quick, candidates).map(|c| c.id.into())
+    }
+
+    pub(super) fn put_on(&mut self, task: &Task, spec: &JobSpec, id: &MachineId, mirror: &Mirror, now: Secs) {
+        let cache =
+            mirror.catalog.as_ref().and_then(|c| c.get(&self.machines.get(id)?.kind).map(|t| t.cache_gb));
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let cached = m.has_image(&spec.image);
+        tracing::debug!(%task, %id, cached, "placed");
+        m.images.retain(|i| i.0 != spec.image);
+        m.images.push_front((spec.image.clone(), spec.image_gb));
+        while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > cache.unwrap_or(0.0) {
+            m.images.pop_back();
+        }
+        m.idle_since = now;
+        let zone = m.zone.clone();
+        let session = m.session;
+        if let Some(b) = self.bounds.get_mut(&task.job) {
+            if spec.one_zone {
+                b.room.retain(|z, _| *z == zone);
+            }
+            if let Some(n) = b.room.get_mut(&zone) {
+                *n = n.saturating_sub(1);
+            }
+        }
+        if let Some(attempt) = self.held.get(task).map(|h| h.attempt) {
+            let at = Place {
+                machine: id.clone(),
+                session,
+                phase: Phase::Starting,
+                start_token: u64::MAX,
+                sent: false,
+                confirmed: false,
+                stop: None,
+                stop_sent: false,
+                since: now,
+            };
+            self.held.place(task, attempt, at);
+            self.dirty = true;
+        }
+    }
+
+    /// Makes room by stopping lower work, on machines that have the image if
+    /// `warm`. False if there is nothing to stop, or it has taken too long.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn make_room(
+        &mut self,
+        task: &Task,
+        spec: &JobSpec,
+        free: &BTreeMap<MachineId, Res>,
+        kept: &mut Kept,
+        warm: bool,
+        mirror: &Mirror,
+        when: When,
+    ) -> bool {
+        let Some(held) = self.held.get(task) else { return false };
+        if when.now - held.since >= self.timing.report_s + spec.save_s {
+            return false;
+        }
+        let bounds = self.bounds.get(&task.job);
+        let mut best: Option<((u32, f64), MachineId, Vec<Attempt>)> = None;
+        for (id, f) in free {
+            let Some(m) = self.machines.get(id) else { continue };
+            let zone_full = bounds.is_some_and(|b| b.room.get(&m.zone).copied().unwrap_or(0) == 0);
+            if held.avoid.contains(id)
+                || zone_full
+                || warm && !m.has_image(&spec.image)
+                || m.lines.contains_key(task)
+                || !place::allowed(spec, &m.kind, &m.zone, m.spot)
+            {
+                continue;
+            }
+            let promised = kept.0.get(id).copied().unwrap_or_default();
+            if let Some((victims, lost)) = self.victims(id, *f, promised, spec, mirror, when) {
+                if best.as_ref().is_none_or(|b| lost < b.0) {
+                    best = Some((lost, id.clone(), victims));
+                }
+            }
+        }
+        let Some((_, id, victims)) = best else { return false };
+        for (t, attempt) in victims {
+            self.recall(&t, attempt, Stop::Preempted);
+        }
+        kept.0.entry(id).or_default().give(&spec.ask());
+        true
+    }
+
+    /// Lower tasks on a machine whose end makes room: first those that a new
+    /// start doesn't make late, then the youngest. Also how many it makes late
+    /// all the same, and the work lost. Room that is being made already counts.
+    pub(super) fn victims(
+        &self,
+        id: &MachineId,
+        free: Res,
+        promised: Res,
+        spec: &JobSpec,
+        mirror: &Mirror,
+        when: When,
+    ) -> Option<(Vec<Attempt>, (u32, f64))> {
+        let ask = spec.ask();
+        let mut room = free;
+        room.take(&promised);
+        let mut able: Vec<(Rank, bool, Secs, &Task, u64, Res)> = Vec::new();
+        for (t, h) in self.held.on(id) {
+            let Some(p) = h.at.as_ref().filter(|p| p.phase != Phase::Done) else {
+                continue;
+            };
+            let Some(s) = mirror.jobs.get(&t.job).and_then(|j| j.record.spec.as_ref()) else { continue };
+            if p.stop.is_some() {
+                room.give(&s.ask());
+            } else if yields(s, spec.rank) {
+                let job = &mirror.jobs[&t.job].record;
+                let age = when.day_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
+                let ran = when.now - p.since;
+                able.push((s.rank, made_late(s, age, ran), p.since, t, h.attempt, s.ask()));
+            }
+        }
+        able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(b.2.total_cmp(&a.2)));
+        let (mut victims, mut late, mut lost) = (Vec::new(), 0, 0.0);
+        for (_, hurt, since, t, attempt, res) in able {
+            if room.fits(&ask) {
+                break;
+            }
+            room.give(&res);
+            late += u32::from(hurt);
+            // What it has done so far is done again.
+            lost += res.cpus * (when.now - since).max(1.0);
+            victims.push((t.clone(), attempt));
+        }
+        room.fits(&ask).then_some((victims, (late, lost)))
+    }
+}
+
+/// Machines on which room is being made this round, and how much of it is
+/// promised: nobody of lower rank gets it meanwhile.
+#[derive(Debug, Default)]
+pub(super) struct Kept(BTreeMap<MachineId, Res>);
+
+/// Whether a job becomes late by starting a task anew, or, if it is late, later
+/// by another half of the time it was given: else those that are late already
+/// would be stopped again and again.
+fn made_late(spec: &JobSpec, age: Secs, ran: Secs) -> bool {
+    spec.checkpoint_s <= 0.0
+        && spec.deadline_s.filter(|d| *d > 0.0).is_some_and(|d| {
+            let halves = |ends: Secs| (ends / (d / 2.0)).ceil().max(2.0);
+            halves(age + spec.estimate_s) > halves(age + (spec.estimate_s - ran).max(0.0))
+        })
+}
--- /dev/null
+++ b/src/fleet/snapshot.rs
@@ -0,0 +1,94 @@
+//! What the leader is told: all that has changed since it last took a report in.
+
+use super::machine::Machine;
+use super::{yields, MachineView, Part, PartReport, Phase, Quiet, LATE_REPORTS};
+use crate::clock::Secs;
+use crate::jobs::Mirror;
+use crate::silence::Reached;
+use crate::wire::{MachineId, Rank, Res};
+use std::sync::Arc;
+
+impl Part {
+    /// One machine as the leader sees it.
+    pub(super) fn view(&self, id: &MachineId, m: &Machine, mirror: &Mirror, now: Secs) -> MachineView {
+        let mut yielding = Res::default();
+        for (task, h) in self.held.on(id) {
+            let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
+            let there = h.at.as_ref().is_some_and(|p| p.phase != Phase::Done);
+            if let Some(s) = spec.filter(|s| there && yields(s, Rank::Prod)) {
+                yielding.give(&s.ask());
+            }
+        }
+        let mut images: Vec<Arc<str>> = m.images.iter().map(|i| i.0.clone()).collect();
+        images.sort();
+        MachineView {
+            id: id.clone(),
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            certain: m.certain,
+            heard: m.heard.is_some(),
+            listed: m.listed,
+            addr: m.addr.clone(),
+            free: self.machine_free(id, m, mirror),
+            yielding,
+            open: self.open(m, now),
+            noticed: m.notice_until.is_some(),
+            faulty: m.faulty(),
+            heedless: m.heedless(self.timing.report_s, now) || m.mute(self.timing.report_s, now) || m.spent(),
+            draining: m.draining,
+            tasks: (self.held.count_on(id) as u32).max(m.lines.len() as u32),
+            images,
+        }
+    }
+
+    /// What has changed in this part since the leader last said what it had.
+    pub fn snapshot(&mut self, mirror: &Mirror, now: Secs) -> PartReport {
+        self.seq += 1;
+        self.dirty = false;
+        let (seq, since) = (self.seq, self.acked);
+        let mut told = std::mem::take(&mut self.told);
+        let mut machines = Vec::new();
+        let mut quiet = Vec::new();
+        for (id, m) in &self.machines {
+            let view = self.view(id, m, mirror, now);
+            let entry = match told.get_mut(id) {
+                Some(t) => {
+                    if t.0 != view {
+                        *t = (view, seq);
+                    }
+                    t
+                }
+                None => told.entry(id.clone()).or_insert((view, seq)),
+            };
+            if entry.1 > since {
+                machines.push(entry.0.clone());
+            }
+            let silent_s = now - m.heard.unwrap_or(self.entered.max(m.since));
+            if silent_s > self.timing.report_s * LATE_REPORTS || m.deaf.is_some() {
+                quiet.push(Quiet { id: id.clone(), silent_s, deaf_s: m.deaf.map(|d| now - d) });
+            }
+        }
+        let reached = self.reached.iter();
+        let reached =
+            reached.map(|(z, s)| (z.clone(), Reached { since_s: now - s.first, last_s: now - s.last }));
+        told.retain(|id, _| self.machines.contains_key(id));
+        self.told = told;
+        PartReport {
+            epoch: self.epoch,
+            node: self.node.clone(),
+            inc: self.inc,
+            kept: self.kept,
+            since,
+            seq,
+            machines,
+            unlisted: self.unlisted.clone(),
+            held: self.held.changed(seq, since),
+            gone: self.gone.clone(),
+            dropped: self.dropped.clone(),
+            quiet,
+            zones_met: reached.collect(),
+            met: Vec::new(),
+        }
+    }
+}
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -285,6 +285,28 @@
     assert!(b.shared_attempt(2) > first);
 }
 
+// The machines have a new owner as well, and one of them is gone: nobody says
+// that its task is lost, only that it is nowhere. The attempt may have run.
+#[test]
+fn a_task_that_turns_out_to_be_nowhere_ends_the_attempt() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(3, &[&s]), 3);
+    b.steps(2);
+    let first = b.shared_attempt(2);
+    let lost = b.on_machines()[1].0;
+    b.shown[lost].clear();
+    let members: BTreeMap<String, u64> = [("a".to_string(), 8)].into_iter().collect();
+    let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
+    let mut p = Part::new("a", TIMING, Default::default());
+    p.enter(epoch.n, 8, &b.mirror, b.now, |_| true);
+    b.part = p;
+    let mut l = Leader::new(&settings(&[]).expect("settings"));
+    l.enter(&epoch, 8, &b.mirror);
+    b.leader = l;
+    b.steps(12);
+    assert!(b.shared_attempt(2) > first);
+}
+
 // A part that is full by the time its orders come can't start its task. What
 // can't be completed within a share of the time that tasks wait is withdrawn.
 #[test]
