--- /dev/null
+++ b/src/deal/finishes.rs
@@ -0,0 +1,76 @@
+//! Which finished tasks are to be committed next.
+
+use super::Leader;
+use crate::clock::Secs;
+use crate::jobs::Mirror;
+use crate::wire::{JobId, MachineId, Task};
+use std::collections::HashSet;
+
+/// Finished tasks to commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finish {
+    pub job: JobId,
+    pub tasks: Vec<u32>,
+}
+
+impl Leader {
+    /// Tasks seen done and not committed, job by job; each job once at a time.
+    /// The ends of jobs come first, as users wait for them. Then come up to
+    /// `room` jobs that have got further: a worker keeps a result until it is
+    /// committed, so that this is in no hurry, unless its machine is to go.
+    pub fn finishes(&mut self, now: Secs, room: usize, mirror: &Mirror) -> Vec<Finish> {
+        let mut out = Vec::new();
+        let mut some: Vec<(bool, Secs, JobId)> = Vec::new();
+        let leaving: HashSet<&MachineId> = self
+            .parts
+            .values()
+            .flat_map(|p| p.machines.values())
+            .filter(|m| m.view.noticed || m.view.draining)
+            .map(|m| &m.view.id)
+            .collect();
+        for (id, e) in &mut self.jobs {
+            let Some(job) = mirror.jobs.get(id).filter(|j| j.live()) else { continue };
+            if e.committing || e.finishing.is_empty() || now < e.retry_after {
+                continue;
+            }
+            let before = job.finished.len();
+            if before + e.finishing.len() >= e.spec.tasks {
+                e.committing = true;
+                out.push(Finish { job: id.clone(), tasks: e.finishing.iter().collect() });
+                continue;
+            }
+            let pressing = !leaving.is_empty()
+                && e.finishing.iter().any(|i| {
+                    e.dealt.get(&i).and_then(|d| d.machine.as_ref()).is_some_and(|m| leaving.contains(m))
+                });
+            if pressing || now >= e.commit_after {
+                some.push((!pressing, e.commit_after, id.clone()));
+            }
+        }
+        some.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        for (_, _, id) in some.into_iter().take(room.saturating_sub(out.len())) {
+            if let Some(e) = self.jobs.get_mut(&id) {
+                e.committing = true;
+                out.push(Finish { job: id, tasks: e.finishing.iter().collect() });
+            }
+        }
+        out
+    }
+
+    /// A commit of finished tasks has been answered; the same job's next
+    /// progress follows after a report interval, a refused one from `retry` on.
+    pub fn finish_answered(&mut self, job: &JobId, now: Secs, retry: Secs) {
+        if let Some(e) = self.jobs.get_mut(job) {
+            e.committing = false;
+            e.retry_after = retry;
+            e.commit_after = now + self.report_s;
+        }
+    }
+}
+
+/// Whether a task's end is still to be committed. Guard: not once its job is
+/// cancelled, which a part may hear later than the leader. Its last task's end,
+/// reported in between, made a job done that its user had been told is cancelled.
+pub(super) fn wanted(mirror: &Mirror, task: &Task) -> bool {
+    mirror.jobs.get(&task.job).is_some_and(|j| j.live() && !j.finished.has(task.index))
+}
--- a/src/deal/gang.rs
+++ b/src/deal/gang.rs
@@ -69,9 +69,16 @@
     /// Whether the tasks that a gang lacks may be assigned now, of which `free`
     /// are within the team's limit.
     pub(super) fn gang_may_start(&self, free: usize) -> bool {
-        // Guard: where the team's limit leaves room for some only, none starts.
+        // Guard: where the team's limit leaves room for some only, or some may be
+        // anywhere yet, none starts.
         let whole = self.dealt.len() + free == self.spec.tasks as usize;
-        whole && !self.leaving && self.unknown.is_empty() && self.unlisted.is_empty()
+        // A part is told how many tasks a zone may take of all that it hasn't listed.
+        whole && !self.leaving && self.unlisted.is_empty()
+    }
+
+    /// The attempt number for a task of a gang that is assigned now.
+    pub(super) fn gang_attempt(&mut self, new_number: u64, now: Secs) -> u64 {
+        self.attempt.get_or_insert_with(|| Attempt::begun(new_number, now)).number
     }
 
     /// Takes the attempt from what parts hold, after a change of leader.
@@ -177,12 +184,6 @@
         self.deal_spread(id, wish, &chosen, free, rooms)
     }
 
-    /// The attempt number for tasks of a gang that are assigned now.
-    pub(super) fn gang_attempt(&mut self, id: &JobId, new_number: u64, now: Secs) -> u64 {
-        let Some(entry) = self.jobs.get_mut(id) else { return new_number };
-        entry.attempt.get_or_insert_with(|| Attempt::begun(new_number, now)).number
-    }
-
     /// Whether gangs are assigned: not while a controller of a version without
     /// them may lead or own machines.
     pub fn run_gangs(&mut self, allowed: bool) {
--- /dev/null
+++ b/src/deal/machines.rs
@@ -0,0 +1,116 @@
+//! The machines of all parts, as the leader last heard of them.
+
+use super::Leader;
+use crate::clock::Secs;
+use crate::fleet::{MachineView, Quiet};
+use crate::rooms::Slot;
+use crate::silence::Reached;
+use crate::wire::MachineId;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+/// A machine as the leader last heard of it.
+#[derive(Debug)]
+pub struct MachineNews {
+    pub view: MachineView,
+    pub(super) slot: Slot,
+    /// Since when it holds nothing.
+    pub(super) idle_since: Secs,
+}
+
+/// A machine with how long ago things were.
+#[derive(Debug, Clone, Copy)]
+pub struct MachineNow<'a> {
+    pub view: &'a MachineView,
+    pub silent_s: f64,
+    pub deaf_s: Option<f64>,
+    pub idle_s: f64,
+    /// How its owner reaches its zone. A report that came through a third
+    /// controller shows nothing of that.
+    pub reached: Option<Reached>,
+}
+
+impl std::ops::Deref for MachineNow<'_> {
+    type Target = MachineView;
+    fn deref(&self) -> &MachineView {
+        self.view
+    }
+}
+
+/// A part as its reports tell it.
+#[derive(Debug)]
+pub struct PartView {
+    pub(super) inc: u64,
+    pub(super) seq: u64,
+    pub(super) machines: BTreeMap<MachineId, MachineNews>,
+    pub(super) quiet: HashMap<MachineId, Quiet>,
+    pub(super) zones_met: HashMap<Arc<str>, Reached>,
+    pub(super) met: HashMap<MachineId, f64>,
+    pub(super) orders_seq: u64,
+    pub(super) heard: Secs,
+}
+
+impl PartView {
+    /// A part that has only just come.
+    pub(super) fn new(inc: u64, now: Secs) -> PartView {
+        PartView {
+            inc,
+            seq: 0,
+            machines: BTreeMap::new(),
+            quiet: HashMap::new(),
+            zones_met: HashMap::new(),
+            met: HashMap::new(),
+            orders_seq: 0,
+            heard: now,
+        }
+    }
+}
+
+impl Leader {
+    /// Every machine that some part reports, as of `now`. A part tells only
+    /// of machines that are its own in this epoch.
+    pub fn machines_at(&self, now: Secs) -> impl Iterator<Item = MachineNow<'_>> {
+        self.parts.values().flat_map(move |p| {
+            p.machines.values().map(move |m| {
+                let quiet = p.quiet.get(&m.view.id);
+                let age = now - p.heard;
+                MachineNow {
+                    view: &m.view,
+                    silent_s: quiet.map_or(0.0, |q| q.silent_s + age),
+                    deaf_s: quiet.and_then(|q| q.deaf_s).map(|d| d + age),
+                    idle_s: if m.view.tasks == 0 { now - m.idle_since } else { 0.0 },
+                    reached: p
+                        .zones_met
+                        .get(&m.view.zone)
+                        .map(|r| Reached { since_s: r.since_s + age, last_s: r.last_s + age }),
+                }
+            })
+        })
+    }
+
+    /// Every machine that some part reports.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineView> {
+        self.parts.values().flat_map(|p| p.machines.values().map(|m| &m.view))
+    }
+
+    /// Machines that may be silent for their owners only: some other controller
+    /// has met their workers within `age`.
+    pub fn met(&self, age: Secs) -> HashSet<&MachineId> {
+        let all = self.parts.values().flat_map(|p| p.met.iter());
+        all.filter(|(_, &a)| a < age).map(|(id, _)| id).collect()
+    }
+
+    /// Whether a quarter of the machines of this one's owner heed nothing: then
+    /// it is the owner whose answers come too late, not the machines.
+    pub fn owner_unheard(&self, id: &MachineId) -> bool {
+        self.parts.values().find(|p| p.machines.contains_key(id)).is_some_and(|p| {
+            let heedless = p.machines.values().filter(|m| m.view.heedless).count();
+            heedless >= 2 && heedless * 4 >= p.machines.len()
+        })
+    }
+
+    /// A part's age of news.
+    pub fn part_silence(&self, node: &str, now: Secs) -> Option<Secs> {
+        self.parts.get(node).map(|p| now - p.heard)
+    }
+}
--- /dev/null
+++ b/src/deal/mod.rs
@@ -0,0 +1,316 @@
+//! The leader: which tasks wait, which part holds which, what is to be
+//! committed as finished. Pure, like [`crate::fleet`].
+//!
+//! A task is in exactly one of three conditions: free (certainly nowhere),
+//! dealt (one part answers for it), or unknown (since the epoch began nobody
+//! has proven where it is). Only free tasks are dealt.
+
+mod choice;
+mod finishes;
+mod gang;
+mod machines;
+mod orders;
+mod reports;
+mod round;
+mod urgency;
+
+pub use finishes::Finish;
+pub use machines::{MachineNews, MachineNow, PartView};
+pub use urgency::Aims;
+
+use crate::clock::Secs;
+use crate::finished::Bits;
+use crate::fleet::Phase;
+use crate::jobs::{Epoch, Mirror};
+use crate::rent::Want;
+use crate::rooms::Names;
+use crate::settings::{Settings, Team};
+use crate::wire::{JobId, JobSpec, MachineId, Shape};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+#[derive(Debug, Clone)]
+struct Dealt {
+    part: Arc<str>,
+    attempt: u64,
+    /// Tells one assignment of an attempt from the next; 0 if its part doesn't say.
+    assignment: u64,
+    /// The part has listed it: it need not be sent again.
+    listed: bool,
+    phase: Phase,
+    machine: Option<MachineId>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    spec: Arc<JobSpec>,
+    at_ms: u64,
+    unknown: Bits,
+    /// Of the unknown, those that can only be with one part, which has kept all
+    /// that it knew: its word alone is proof.
+    with: BTreeMap<u32, Arc<str>>,
+    dealt: BTreeMap<u32, Dealt>,
+    /// Those of the dealt that their part has not listed yet.
+    unlisted: BTreeSet<u32>,
+    /// Seen done by a part, not yet committed.
+    finishing: Bits,
+    committing: bool,
+    commit_after: Secs,
+    retry_after: Secs,
+    not_before: Secs,
+    errors: BTreeMap<MachineId, u32>,
+    /// Of a gang: the attempt that its tasks share.
+    attempt: Option<gang::Attempt>,
+    /// Since when a service that is bound to the zone of its tasks has had no
+    /// room there.
+    stuck_since: Option<Secs>,
+    /// All its tasks are being stopped, to begin together in another zone.
+    leaving: bool,
+    /// What each part was told that zones may still take.
+    room: BTreeMap<Arc<str>, Vec<(Arc<str>, u32)>>,
+}
+
+/// How often the wait after a failure is doubled at the most.
+const MOST_DOUBLINGS: u32 = 6;
+
+impl Dealt {
+    /// The order of assignments of a task.
+    fn order(&self) -> (u64, u64) {
+        (self.attempt, self.assignment)
+    }
+}
+
+impl Entry {
+    /// The assignments that differ from their attempts, of tasks that a part
+    /// has not listed yet.
+    fn assignments(&self, node: &str) -> Vec<(u32, u64)> {
+        let unlisted = self.unlisted.iter().filter_map(|index| Some((*index, self.dealt.get(index)?)));
+        let differ = unlisted.filter(|(_, d)| &*d.part == node && d.assignment != d.attempt);
+        differ.map(|(index, d)| (index, d.assignment)).collect()
+    }
+    /// A task failed on a machine. One that fails wherever it runs would take the
+    /// same room again and again: it waits longer each time.
+    fn note_error(&mut self, machine: Option<MachineId>, report_s: Secs, now: Secs) {
+        if let Some(machine) = machine {
+            *self.errors.entry(machine).or_default() += 1;
+        }
+        let total: u32 = self.errors.values().sum();
+        if self.errors.len() >= 2 {
+            self.not_before = now + report_s * f64::from(1u32 << total.min(MOST_DOUBLINGS));
+        }
+    }
+    fn undeal(&mut self, index: u32) -> Option<Dealt> {
+        self.unlisted.remove(&index);
+        self.dealt.remove(&index)
+    }
+    fn deal(&mut self, index: u32, dealt: Dealt) {
+        if dealt.listed {
+            self.unlisted.remove(&index);
+        } else {
+            self.unlisted.insert(index);
+        }
+        self.dealt.insert(index, dealt);
+    }
+}
+
+/// The leader's table.
+#[derive(Debug)]
+pub struct Leader {
+    epoch: u64,
+    inc: u64,
+    members: BTreeMap<String, u64>,
+    jobs: BTreeMap<JobId, Entry>,
+    pub parts: BTreeMap<String, PartView>,
+    names: Names,
+    resolved: bool,
+    /// Something came in that may prove where tasks are.
+    news: bool,
+    /// Parts whose holdings have come in since the last task became unknown.
+    joined: BTreeSet<String>,
+    attempts: u64,
+    teams: HashMap<Arc<str>, Team>,
+    start_aims: HashMap<Arc<str>, f64>,
+    aims: Aims,
+    report_s: Secs,
+    gang_wait_s: Secs,
+    gangs_allowed: bool,
+    /// Machines that take no more tasks.
+    pub drain: BTreeSet<MachineId>,
+    /// CPUs on ordinary machines that are kept free for services to come.
+    pub reserve: f64,
+    /// Machines whose replicas are to move to others.
+    pub moving: BTreeSet<MachineId>,
+    /// What could not be dealt in the last round, for renting.
+    pub wants: Vec<Want>,
+    cursor: Option<JobId>,
+}
+
+impl Leader {
+    /// A leader of no epoch.
+    pub fn new(settings: &Settings) -> Leader {
+        Leader {
+            epoch: 0,
+            inc: 0,
+            members: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            names: Names::default(),
+            resolved: false,
+            news: true,
+            joined: BTreeSet::new(),
+            attempts: 0,
+            teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
+            start_aims: settings.start_aims(),
+            aims: Aims::new(settings),
+            report_s: settings.params.workers.report_s,
+            gang_wait_s: settings.params.workers.gang_wait_s,
+            gangs_allowed: true,
+            drain: BTreeSet::new(),
+            moving: BTreeSet::new(),
+            reserve: 0.0,
+            wants: Vec::new(),
+            cursor: None,
+        }
+    }
+
+    /// Enters an epoch as its leader. The table is kept if this incarnation
+    /// led the one just before; what was dealt is unknown until it is seen.
+    pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror) {
+        let stays = self.inc == inc && self.epoch + 1 == e.n;
+        if !stays {
+            self.jobs.clear();
+            self.drain.clear();
+            self.moving.clear();
+        }
+        // Parts that live on and hand no machine over, as nobody is new: what
+        // was dealt to them is theirs still, or nowhere. Without this, one
+        // controller's return left all that a cut zone had lost in doubt until
+        // the last machine of the zone had been heard.
+        let nobody_new = stays && e.members.keys().all(|m| self.members.contains_key(m));
+        let same = |m: &&String| nobody_new && self.members.get(*m) == e.members.get(*m);
+        let steady: BTreeSet<String> = e.members.keys().filter(same).cloned().collect();
+        self.epoch = e.n;
+        self.inc = inc;
+        self.members = e.members.clone();
+        self.parts.clear();
+        self.joined.clear();
+        self.resolved = false;
+        self.attempts = 0;
+        for job in self.jobs.values_mut() {
+            let dealt = std::mem::take(&mut job.dealt);
+            job.unlisted.clear();
+            job.with.retain(|_, p| steady.contains(&**p));
+            if let Some(attempt) = job.attempt.as_mut() {
+                attempt.doubt_task();
+            }
+            for (index, d) in dealt {
+                job.unknown.add(index);
+                if steady.contains(&*d.part) {
+                    job.with.insert(index, d.part);
+                }
+            }
+            job.committing = false;
+        }
+        let ids: Vec<JobId> = mirror.jobs.keys().cloned().collect();
+        for id in ids {
+            self.job_changed(&id, mirror);
+        }
+    }
+
+    /// A job is new or has changed in the mirror.
+    pub fn job_changed(&mut self, id: &JobId, mirror: &Mirror) {
+        let Some(job) = mirror.jobs.get(id) else { return };
+        let Some(spec) = job.record.spec.clone().filter(|_| !job.record.done) else {
+            if self.jobs.get(id).is_some_and(|e| e.dealt.is_empty()) {
+                self.jobs.remove(id);
+            }
+            return;
+        };
+        if !self.jobs.contains_key(id) {
+            let mut unknown = Bits::default();
+            // Accepted in this epoch: nobody can have dealt it before us.
+            if job.record.epoch < self.epoch {
+                for index in (0..spec.tasks).filter(|&i| !job.finished.has(i)) {
+                    unknown.add(index);
+                }
+            }
+            if job.record.cancelled && unknown.is_empty() {
+                return;
+            }
+            if !unknown.is_empty() {
+                // Reports taken in before this job was known said nothing of it.
+                self.resolved = false;
+                self.joined.clear();
+            }
+            let entry = Entry {
+                at_ms: job.record.at_ms,
+                spec,
+                unknown,
+                with: BTreeMap::new(),
+                dealt: BTreeMap::new(),
+                unlisted: BTreeSet::new(),
+                finishing: Bits::default(),
+                committing: false,
+                commit_after: 0.0,
+                retry_after: 0.0,
+                not_before: 0.0,
+                errors: BTreeMap::new(),
+                attempt: None,
+                stuck_since: None,
+                leaving: false,
+                room: BTreeMap::new(),
+            };
+            self.jobs.insert(id.clone(), entry);
+        }
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        let over: Vec<u32> = entry.finishing.iter().filter(|&i| job.finished.has(i)).collect();
+        for i in over {
+            entry.finishing.remove(i);
+            entry.unknown.remove(i);
+            entry.undeal(i);
+        }
+        if job.record.cancelled {
+            entry.finishing = Bits::default();
+            if entry.unknown.is_empty() && entry.dealt.is_empty() {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    /// Machines that may still run tasks of jobs cancelled more than `after_s`
+    /// ago: whatever stops were sent there, none is proven to have been obeyed.
+    pub fn not_rid(&self, mirror: &Mirror, day_ms: u64, after_s: Secs) -> BTreeSet<MachineId> {
+        let mut out = BTreeSet::new();
+        for (id, e) in &self.jobs {
+            let Some(job) = mirror.jobs.get(id).filter(|j| j.record.cancelled) else { continue };
+            let at_ms = job.record.cancelled_at_ms.unwrap_or(day_ms);
+            if day_ms.saturating_sub(at_ms) as f64 / 1000.0 > after_s {
+                let there = e.dealt.values().filter(|d| d.phase != Phase::Done);
+                out.extend(there.filter_map(|d| d.machine.clone()));
+            }
+        }
+        out
+    }
+
+    /// Counts for the log: jobs, dealt, unknown.
+    pub fn counts(&self) -> (usize, usize, u32) {
+        let dealt = self.jobs.values().map(|e| e.dealt.len()).sum();
+        let unknown = self.jobs.values().map(|e| e.unknown.len()).sum();
+        (self.jobs.len(), dealt, unknown)
+    }
+
+    /// CPUs that replicas of services take now.
+    pub fn service_cpus(&self) -> f64 {
+        self.jobs
+            .values()
+            .filter(|e| e.spec.shape == Shape::Service)
+            .map(|e| e.spec.cpus * e.dealt.len() as f64)
+            .sum()
+    }
+}
+
+/// Parts with the tasks that go to each.
+type Assignment = Vec<(Arc<str>, Vec<u32>)>;
+
+/// How many more tasks of a job each zone may take.
+type ZoneRoom = Vec<(u32, u32)>;
--- /dev/null
+++ b/src/deal/round.rs
@@ -0,0 +1,279 @@
+//! One round of assignment: which jobs come first, and what each may take.
+
+use super::choice::{deal_array, deal_whole};
+use super::urgency::urgency;
+use super::{Assignment, Dealt, Entry, Leader};
+use crate::clock::{self, Secs};
+use crate::fleet::Phase;
+use crate::jobs::{Job, Mirror};
+use crate::place;
+use crate::rent::Want;
+use crate::rooms::{Rooms, Wish};
+use crate::wire::{JobId, MachineId, Rank, Res, Shape, BEGIN_WITHIN_S};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+impl Leader {
+    pub(super) fn used(&self) -> HashMap<Arc<str>, Res> {
+        let mut used: HashMap<Arc<str>, Res> = HashMap::new();
+        for e in self.jobs.values() {
+            let n = f64::from(e.dealt.len() as u32 + e.unknown.len());
+            let u = used.entry(e.spec.team.clone()).or_default();
+            u.cpus += n * e.spec.cpus;
+            u.gpus += n * e.spec.gpus;
+        }
+        used
+    }
+
+    /// Free room of every open machine, less what is dealt and not placed.
+    pub(super) fn rooms(&self) -> Rooms {
+        let open = self.parts.values().flat_map(|p| p.machines.values());
+        let open = open.filter(|m| m.view.open && !self.drain.contains(&m.view.id));
+        let mut rooms = Rooms::new(open.map(|m| m.slot.clone()).collect(), self.reserve);
+        for e in self.jobs.values() {
+            let mut wish = None;
+            for d in e.dealt.values().filter(|d| d.machine.is_none()) {
+                let wish =
+                    wish.get_or_insert_with(|| Wish::new(&e.spec, &self.names, Vec::new(), false, false));
+                if let Some(slot) = rooms.best(wish, self.names.known(&d.part), None) {
+                    rooms.take(slot, &wish.ask);
+                }
+            }
+        }
+        rooms
+    }
+
+    /// Jobs that fit their team's guarantee together with the team's earlier
+    /// unfinished jobs: they need not wait for what others borrow.
+    pub(super) fn guaranteed(&self, mirror: &Mirror) -> HashSet<JobId> {
+        let mut by_age: Vec<(u64, &JobId, &Entry)> =
+            self.jobs.iter().map(|(id, e)| (e.at_ms, id, e)).collect();
+        by_age.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        let mut used: HashMap<&str, Res> = HashMap::new();
+        let mut out = HashSet::new();
+        for (_, id, e) in by_age {
+            let Some(team) = self.teams.get(&e.spec.team) else { continue };
+            let Some(job) = mirror.jobs.get(id).filter(|j| j.live()) else { continue };
+            let left = f64::from(e.spec.tasks.saturating_sub(job.finished.len()));
+            let u = used.entry(&e.spec.team).or_default();
+            u.cpus += left * e.spec.cpus;
+            u.gpus += left * e.spec.gpus;
+            if u.cpus <= team.cpus && u.gpus <= team.gpus {
+                out.insert(id.clone());
+            }
+        }
+        out
+    }
+
+    /// One round of assignment: as many free tasks as fit, in order of rank and
+    /// age, until `more` says that the time is over; the next round goes on
+    /// from there. Returns the parts that have new orders.
+    pub fn deal(&mut self, mirror: &Mirror, now: Secs, mut more: impl FnMut() -> bool) -> BTreeSet<String> {
+        let touched = self.watch_gangs(mirror, now);
+        if self.parts.is_empty() {
+            return touched;
+        }
+        let mut round = Round {
+            mirror,
+            now,
+            day_ms: clock::day_ms(),
+            used: self.used(),
+            rooms: self.rooms(),
+            wants: Vec::new(),
+            gang_waits: false,
+            touched,
+        };
+        for id in self.jobs_in_order(&round) {
+            if !more() {
+                self.cursor = Some(id);
+                break;
+            }
+            self.assign_job(&id, &mut round);
+        }
+        for w in round.wants.iter().filter(|w| w.spec.rank == Rank::Prod) {
+            tracing::debug!(job = %w.spec.id, count = w.count, "no room");
+        }
+        self.wants = round.wants;
+        round.touched
+    }
+
+    /// Jobs that may have free tasks, the most pressing first; from where the last
+    /// round stopped, if its time was over.
+    fn jobs_in_order(&mut self, round: &Round) -> Vec<JobId> {
+        let guaranteed = self.guaranteed(round.mirror);
+        let live = |id: &JobId| round.mirror.jobs.get(id).is_some_and(|j| j.live());
+        let may_have_free =
+            |e: &Entry| round.now >= e.not_before && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks;
+        let waiting = self.jobs.iter().filter(|(id, e)| live(id) && may_have_free(e));
+        let mut order: Vec<(Stage, Rank, u8, i64, JobId)> = waiting
+            .map(|(id, e)| {
+                let (tier, due) = urgency(&e.spec, e.at_ms, round.day_ms, &self.aims);
+                let stage = stage(id, e, guaranteed.contains(id), round);
+                (stage, e.spec.rank, tier, due, id.clone())
+            })
+            .collect();
+        order.sort();
+        if let Some(at) = self.cursor.take() {
+            if let Some(position) = order.iter().position(|o| o.4 == at) {
+                order.rotate_left(position);
+            }
+        }
+        order.into_iter().map(|o| o.4).collect()
+    }
+
+    /// The free tasks of a job, as many as its team's limit allows.
+    fn free_tasks(&self, e: &Entry, job: &Job, used: &Res) -> Vec<u32> {
+        let team = self.teams.get(&e.spec.team);
+        let left = Res {
+            cpus: team.map_or(0.0, |t| t.cpu_cap()) - used.cpus,
+            gpus: team.map_or(0.0, |t| t.gpu_cap()) - used.gpus,
+            mem: f64::INFINITY,
+        };
+        let quota = left.count(&Res { mem: 0.0, ..e.spec.ask() }) as usize;
+        let free = |i: &u32| {
+            !job.finished.has(*i) && !e.finishing.has(*i) && !e.unknown.has(*i) && !e.dealt.contains_key(i)
+        };
+        (0..e.spec.tasks).filter(free).take(quota).collect()
+    }
+
+    /// Assigns what is free of one job; what has no room is wanted.
+    fn assign_job(&mut self, id: &JobId, round: &mut Round) {
+        let Some(job) = round.mirror.jobs.get(id) else { return };
+        let Some(e) = self.jobs.get(id) else { return };
+        let spec = e.spec.clone();
+        let used = round.used.entry(spec.team.clone()).or_default();
+        let free = self.free_tasks(e, job, used);
+        let gang_may_not = spec.shape == Shape::Gang && !(self.gangs_allowed && e.gang_may_start(free.len()));
+        if free.is_empty() || gang_may_not {
+            return;
+        }
+        let age_s = round.age_s(e);
+        let wish = self.wish(e, round.mirror);
+        let chosen = self.choose_parts(id, &wish, &free, round);
+        let placed: usize = chosen.iter().map(|(_, tasks)| tasks.len()).sum();
+        if placed == 0 && round.rooms.best(&wish, None, None).is_none() {
+            round.rooms.give_up(&wish);
+        }
+        if placed < free.len() {
+            round.wants.push(Want {
+                zones: self.zones_of(id, round.mirror),
+                ask: spec.ask(),
+                count: (free.len() - placed) as u32,
+                spec: spec.clone(),
+                age_s,
+            });
+        }
+        let used = round.used.entry(spec.team.clone()).or_default();
+        used.cpus += placed as f64 * spec.cpus;
+        used.gpus += placed as f64 * spec.gpus;
+        for (part, tasks) in chosen {
+            round.touched.insert(part.to_string());
+            for index in tasks {
+                self.assign_task(id, index, &part, round.now);
+            }
+        }
+    }
+
+    fn wish(&self, e: &Entry, mirror: &Mirror) -> Wish {
+        let spec = &e.spec;
+        let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
+        let quick = place::in_a_hurry(spec, &self.start_aims, mirror.catalog.as_deref());
+        let wish = Wish::new(spec, &self.names, avoid, quick, spec.rank == Rank::Prod);
+        // The start of a gang with an aim needs room at once in a single zone.
+        if spec.shape == Shape::Gang && self.start_aims.contains_key(&spec.class) {
+            wish.with_reserve()
+        } else {
+            wish
+        }
+    }
+
+    /// The parts that take tasks of a job, by its shape.
+    fn choose_parts(&mut self, id: &JobId, wish: &Wish, free: &[u32], round: &mut Round) -> Assignment {
+        let Some(e) = self.jobs.get(id).filter(|_| !round.rooms.hopeless(wish)) else { return Vec::new() };
+        let spec = e.spec.clone();
+        if spec.shape == Shape::Gang {
+            // The first of those that wait; for the others its room comes later.
+            let keeps_room = !round.gang_waits && round.age_s(e) < BEGIN_WITHIN_S * 2.0;
+            let chosen = self.deal_gang(id, wish, free, &mut round.rooms, round.mirror, keeps_room);
+            round.gang_waits |= chosen.is_empty() && keeps_room;
+            chosen
+        } else if spec.one_zone || spec.scatter {
+            let chosen = self.deal_bound(id, wish, free, &mut round.rooms, round.mirror);
+            if spec.one_zone && spec.shape == Shape::Service {
+                self.leave_zone(id, wish, chosen.is_empty(), &mut round.rooms, round.now);
+            }
+            chosen
+        } else if spec.whole() {
+            deal_whole(wish, free, &mut round.rooms, &self.names)
+        } else {
+            deal_array(wish, free, &mut round.rooms, &self.names)
+        }
+    }
+
+    /// Gives a task to a part, under an attempt of its own or that of its gang.
+    fn assign_task(&mut self, id: &JobId, index: u32, part: &Arc<str>, now: Secs) {
+        self.attempts += 1;
+        let assignment = (self.epoch << ATTEMPT_BITS) | self.attempts;
+        let Some(e) = self.jobs.get_mut(id) else { return };
+        let attempt = match e.spec.shape {
+            Shape::Gang => e.gang_attempt(assignment, now),
+            Shape::Array | Shape::Service => assignment,
+        };
+        let dealt = Dealt {
+            part: part.clone(),
+            attempt,
+            assignment,
+            listed: false,
+            phase: Phase::Queued,
+            machine: None,
+        };
+        e.deal(index, dealt);
+    }
+}
+
+/// Bits of an attempt that count within an epoch: no leader uses a number twice.
+const ATTEMPT_BITS: u32 = 24;
+
+/// What one round of assignment works with.
+struct Round<'a> {
+    mirror: &'a Mirror,
+    now: Secs,
+    day_ms: u64,
+    /// What each team uses, with what was assigned in this round.
+    used: HashMap<Arc<str>, Res>,
+    rooms: Rooms,
+    wants: Vec<Want>,
+    /// A gang waits for which room is kept.
+    gang_waits: bool,
+    /// Parts that have new orders.
+    touched: BTreeSet<String>,
+}
+
+impl Round<'_> {
+    fn age_s(&self, e: &Entry) -> Secs {
+        self.day_ms.saturating_sub(e.at_ms) as f64 / 1000.0
+    }
+}
+
+/// What comes before rank in the order of jobs, the most pressing first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    HighestRank,
+    /// Not begun for long. Large jobs come late in every order: whatever is said
+    /// against it, a job begins while users still wait for it.
+    Unbegun,
+    Guaranteed,
+    Borrowed,
+}
+
+fn stage(id: &JobId, e: &Entry, guaranteed: bool, round: &Round) -> Stage {
+    let begun = !e.dealt.is_empty()
+        || !e.unknown.is_empty()
+        || round.mirror.jobs.get(id).is_some_and(|j| !j.finished.is_empty());
+    match e.spec.rank {
+        Rank::Prod => Stage::HighestRank,
+        _ if !begun && round.age_s(e) > BEGIN_WITHIN_S / 3.0 => Stage::Unbegun,
+        _ if guaranteed => Stage::Guaranteed,
+        _ => Stage::Borrowed,
+    }
+}
