--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -82,6 +82,18 @@
         }
     }
 
+    /// A machine reports that it will be taken; returns what it is answered.
+    fn notice(&mut self, machine: usize) -> Vec<Call> {
+        let shown = &self.shown[machine];
+        let lines: Vec<Line> = shown.iter().map(|(t, s)| (t.as_str(), s.0, s.1, s.2)).collect();
+        self.seq += 1;
+        let mut r = report(machine + 1, 1, self.seq, self.tokens[machine], &lines);
+        r.notice_s = Some(8.0);
+        let (token, calls) = answered(self.part.report(&r, false, &self.mirror, self.now));
+        self.tokens[machine] = token;
+        calls
+    }
+
     fn steps(&mut self, count: usize) {
         (0..count).for_each(|_| self.step());
     }
@@ -219,17 +231,19 @@
     assert!(b.shared_attempt(2) > first);
 }
 
-// Its zone has no room for the refused task, another zone has.
+// A task is refused on a machine that will be taken: its zone has no other room,
+// another zone has.
 #[test]
 fn a_refused_task_of_a_gang_for_one_zone_is_replaced_nowhere_else() {
     let s = gang("wk-1", 2, |v| v["one_zone"] = true.into());
     let mut b = Bench::new(mirror(3, &[&s]), 3);
     b.step();
     b.shared_attempt(2);
+    for line in b.shown[2].values_mut() {
+        (line.1, line.2) = (TaskState::Ended, Some("no_room"));
+    }
+    b.notice(2);
     for _ in 0..20 {
-        for line in b.shown[2].values_mut().filter(|s| s.1 == TaskState::Gathering) {
-            (line.1, line.2) = (TaskState::Ended, Some("no_room"));
-        }
         b.step();
         assert!(b.shown[1].is_empty(), "in the other zone: {:?}", b.shown);
     }
@@ -260,12 +274,9 @@
     b.all_show(TaskState::Running, None);
     b.step();
     let noticed = b.on_machines()[0].0;
-    let lines: Vec<Line> = b.shown[noticed].iter().map(|(t, s)| (t.as_str(), s.0, s.1, s.2)).collect();
-    b.seq += 1;
-    let mut r = report(noticed + 1, 1, b.seq, b.tokens[noticed], &lines);
-    r.notice_s = Some(8.0);
-    b.tokens[noticed] = answered(b.part.report(&r, false, &b.mirror, b.now)).0;
+    b.notice(noticed);
     b.part.stop_for_notices(&b.mirror, b.now);
+    assert!(b.notice(noticed).is_empty(), "the part alone stops none of it");
     b.step();
     let graces: Vec<f64> = b
         .commands
@@ -381,10 +392,10 @@
     assert!(!b.mirror.all_run_gangs());
 }
 
-// States and causes that this version doesn't know: on its machine, whatever it
-// does there, and no fault.
+// A state that this version doesn't know: the task is on its machine, whatever it
+// does there.
 #[test]
-fn unknown_states_are_on_the_machine_and_unknown_causes_end_the_attempt() {
+fn a_task_in_an_unknown_state_is_on_its_machine() {
     let s = gang("wk-1", 2, |_| {});
     let mut b = Bench::new(mirror(4, &[&s]), 4);
     b.step();
@@ -394,7 +405,14 @@
     assert_eq!(b.shared_attempt(2), first);
     let told = b.part.snapshot(&b.mirror, b.now);
     assert!(told.held.iter().all(|h| h.phase == Phase::Running));
-    b.all_show(TaskState::Gathering, None);
+}
+
+#[test]
+fn a_cause_that_this_version_does_not_know_ends_the_attempt_and_is_no_fault() {
+    let s = gang("wk-1", 2, |_| {});
+    let mut b = Bench::new(mirror(4, &[&s]), 4);
+    b.steps(2);
+    let first = b.shared_attempt(2);
     let one = b.on_machines()[0].0;
     b.shown[one].values_mut().for_each(|s| (s.1, s.2) = (TaskState::Ended, Some("weather")));
     b.steps(6);
