--- a/src/assignment/gang.rs
+++ b/src/assignment/gang.rs
@@ -7,13 +7,13 @@
 //! begins when every task of this one is proven to be nowhere.
 
 use super::{Assignment, Entry, Leader, ZoneRoom};
-use crate::capacity::{FreeCapacity, PlacementRequest};
+use crate::capacity::{FreeCapacity, PlacementRequest, ZoneCount};
 use crate::clock::Secs;
 use crate::fleet::Phase;
 use crate::jobs::Mirror;
-use crate::wire::{JobId, JobSpec, MachineId, Shape};
-use std::collections::BTreeSet;
-use std::sync::Arc;
+use crate::wire::{JobId, MachineId, Shape};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The share of the time that tasks wait for each other after which an attempt
 /// that isn't complete gives its room back.
@@ -175,10 +175,16 @@
         let Some(entry) = self.jobs.get(id) else { return Vec::new() };
         let spec = entry.spec.clone();
         let Some(caps) = self.zone_room(entry, capacity, mirror) else { return Vec::new() };
-        let chosen = choose(request, free.len(), &caps, &spec, capacity);
+        let counts = capacity.count_by_zone(request);
+        let Some(caps) = zones_for(free.len() as u32, &caps, &counts, spec.one_zone) else {
+            let zones = if spec.one_zone { roomiest(&caps, &counts) } else { caps };
+            if keeps_room {
+                capacity.take_in_zones(request, &zones, free.len() as u32);
+            }
+            return Vec::new();
+        };
+        let chosen = capacity.try_place(request, free.len(), None, &caps, false);
         if chosen.len() < free.len() {
-            let kept = if keeps_room { chosen.as_slice() } else { &[] };
-            kept.iter().for_each(|&slot| capacity.take(slot, &request.ask));
             return Vec::new();
         }
         self.assign_over_parts(id, request, &chosen, free, capacity)
@@ -191,20 +197,33 @@
     }
 }
 
-/// Machines for `count` tasks: of a gang for one zone those of the zone that
-/// takes the most of them, and of several the one where the most find their image.
-fn choose(
-    request: &PlacementRequest,
-    count: usize,
+/// The zones that take `count` tasks of a gang; none if they have not the room.
+///
+/// Of a gang for one zone it is a single one: where the most tasks find their
+/// image, then the one with the least room. Guard: this looks once at each
+/// machine. A large gang that waits would else be placed in vain, task by task, in
+/// every round, and hold up all else.
+fn zones_for(
+    count: u32,
     caps: &ZoneRoom,
-    spec: &Arc<JobSpec>,
-    capacity: &mut FreeCapacity,
-) -> Vec<usize> {
-    if !spec.one_zone {
-        return capacity.try_place(request, count, None, caps, false);
+    counts: &BTreeMap<u32, ZoneCount>,
+    one_zone: bool,
+) -> Option<ZoneRoom> {
+    let room = |cap: &(u32, u32)| counts.get(&cap.0).map_or(0, |zone| zone.tasks.min(cap.1));
+    if !one_zone {
+        let total = caps.iter().map(room).fold(0, u32::saturating_add);
+        return (total >= count).then(|| caps.clone());
     }
-    let of_zone = |zone: &(u32, u32)| capacity.try_place(request, count, None, &[*zone], false);
-    let per_zone: Vec<Vec<usize>> = caps.iter().map(of_zone).collect();
-    let key = |chosen: &Vec<usize>| (chosen.len(), capacity.cached(request, chosen));
-    per_zone.into_iter().max_by_key(key).unwrap_or_default()
+    let fitting = caps.iter().filter(|cap| room(cap) >= count);
+    let best = fitting.max_by_key(|cap| {
+        let zone = counts.get(&cap.0).copied().unwrap_or_default();
+        (zone.with_image.min(count), Reverse(zone.tasks), Reverse(cap.0))
+    });
+    best.map(|cap| vec![*cap])
+}
+
+/// The zone that has room for the most tasks.
+fn roomiest(caps: &ZoneRoom, counts: &BTreeMap<u32, ZoneCount>) -> ZoneRoom {
+    let room = |cap: &&(u32, u32)| counts.get(&cap.0).map_or(0, |zone| zone.tasks.min(cap.1));
+    caps.iter().max_by_key(room).copied().into_iter().collect()
 }
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -6,7 +6,7 @@
 use crate::best_fit;
 use crate::fleet::MachineView;
 use crate::wire::{JobSpec, MachineId, Res};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// Numbers for the names of types, zones, parts and images.
@@ -70,6 +70,30 @@
     }
 }
 
+impl Slot {
+    /// How many tasks of a request it has room for.
+    fn count(&self, request: &PlacementRequest) -> u32 {
+        let mut free = self.free;
+        if request.preempts {
+            free.give(&self.yielding);
+        }
+        free.count(&request.ask)
+    }
+
+    fn has_image(&self, request: &PlacementRequest) -> bool {
+        request.image.is_some_and(|image| self.images.binary_search(&image).is_ok())
+    }
+}
+
+/// What a zone has room for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ZoneCount {
+    /// Tasks that fit.
+    pub tasks: u32,
+    /// Of these, on machines that have their image.
+    pub with_image: u32,
+}
+
 /// A job's wishes as far as they matter to where it goes.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -116,6 +140,14 @@
         PlacementRequest { uses_reserve: true, ..self }
     }
 
+    /// Whether its job may run on a machine, and has not failed there.
+    fn allows(&self, slot: &Slot) -> bool {
+        (self.spot || !slot.spot)
+            && self.zone.is_none_or(|zone| zone == slot.zone)
+            && self.kinds.as_ref().is_none_or(|kinds| kinds.contains(&slot.kind))
+            && !self.avoid.contains(&slot.id)
+    }
+
     /// Whether what doesn't fit for `other` can't fit for this one either.
     fn harder(&self, other: &PlacementRequest) -> bool {
         self.kinds == other.kinds
@@ -183,7 +215,7 @@
 
     /// The parts whose ordinary machines this request must leave alone.
     fn kept(&self, request: &PlacementRequest) -> Vec<u32> {
-        if request.uses_reserve {
+        if request.uses_reserve || self.reserve <= 0.0 {
             return Vec::new();
         }
         let kept = self.parts.iter().filter(|p| p.ordinary - request.ask.cpus < self.reserve);
@@ -199,14 +231,11 @@
         zones: Option<&[(u32, u32)]>,
     ) -> Option<usize> {
         let mut best: Option<(Key, usize)> = None;
-        let kept = if self.reserve > 0.0 { self.kept(request) } else { Vec::new() };
+        let kept = self.kept(request);
         for (i, s) in self.slots.iter().enumerate() {
             if part.is_some_and(|p| p != s.part)
-                || (s.spot && !request.spot)
-                || request.zone.is_some_and(|z| z != s.zone)
-                || request.kinds.as_ref().is_some_and(|k| !k.contains(&s.kind))
                 || zones.is_some_and(|z| !z.iter().any(|(name, n)| *name == s.zone && *n > 0))
-                || request.avoid.contains(&s.id)
+                || !request.allows(s)
                 || !s.spot && kept.contains(&s.part)
             {
                 continue;
@@ -231,6 +260,37 @@
         best.map(|b| b.1)
     }
 
+    /// How many tasks each zone has room for, and on how many of these their image
+    /// is: one look at each machine, however many tasks there are.
+    pub fn count_by_zone(&self, request: &PlacementRequest) -> BTreeMap<u32, ZoneCount> {
+        let kept = self.kept(request);
+        let mut zones: BTreeMap<u32, ZoneCount> = BTreeMap::new();
+        let open = |s: &&Slot| request.allows(s) && (s.spot || !kept.contains(&s.part));
+        for slot in self.slots.iter().filter(open) {
+            let tasks = slot.count(request);
+            let zone = zones.entry(slot.zone).or_default();
+            zone.tasks = zone.tasks.saturating_add(tasks);
+            if slot.has_image(request) {
+                zone.with_image = zone.with_image.saturating_add(tasks);
+            }
+        }
+        zones
+    }
+
+    /// Takes the room of up to `count` tasks in these zones, machine by machine.
+    pub fn take_in_zones(&mut self, request: &PlacementRequest, zones: &[(u32, u32)], mut count: u32) {
+        for at in 0..self.slots.len() {
+            let slot = &self.slots[at];
+            if !zones.iter().any(|(zone, _)| *zone == slot.zone) || !request.allows(slot) {
+                continue;
+            }
+            let tasks = slot.count(request).min(count);
+            count -= tasks;
+            let (ask, taken) = (request.ask, f64::from(tasks));
+            self.take(at, &Res { cpus: ask.cpus * taken, gpus: ask.gpus * taken, mem: ask.mem * taken });
+        }
+    }
+
     /// Whether nothing can have room for a request, as far as that is known.
     pub fn known_not_to_fit(&self, request: &PlacementRequest) -> bool {
         self.known_not_to_fit.iter().any(|w| request.harder(w))
@@ -320,12 +380,6 @@
         chosen
     }
 
-    /// How many of the chosen machines have the image of a job.
-    pub fn cached(&self, request: &PlacementRequest, chosen: &[usize]) -> usize {
-        let Some(image) = request.image else { return 0 };
-        chosen.iter().filter(|&&slot| self.slots[slot].images.binary_search(&image).is_ok()).count()
-    }
-
     /// How many of the chosen machines have the image of a job in a hurry, and
     /// room for it without driving anybody out.
     pub fn warm(&self, request: &PlacementRequest, chosen: &[usize]) -> usize {
--- a/tests/placement_model.rs
+++ b/tests/placement_model.rs
@@ -197,6 +197,42 @@
     assert!(result.is_ok(), "{result:?}");
 }
 
+/// What a zone is counted to have room for, one look at each machine, is what can
+/// be placed there task by task; of a gang that waits it then keeps as much.
+#[test]
+fn a_zone_is_counted_to_have_room_for_what_can_be_placed_there() {
+    let config = Config { cases: 60, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let node = (0..2usize, 0..3usize, any::<bool>(), [0..40u32, 0..4u32, 0..48u32], any::<bool>());
+    let ask = (1..10u32, prop_oneof![3 => Just(0u32), 1 => 1..3u32], 0..12u32);
+    let case = (proptest::collection::vec(node, 1..80), ask, any::<bool>(), proptest::option::of(0..2usize));
+    let result = runner.run(&case, |(raw, (cpus, gpus, mem), spot, kind)| {
+        let mut names = Names::default();
+        let nodes = raw.into_iter().enumerate().map(|(i, (kind, zone, spot, free, cached))| {
+            let id = format!("m-{i:03}");
+            Node { id, kind, zone, spot, free, cached, zone_peers: 0, machine_peers: 0 }
+        });
+        let slots = nodes.map(|n| Slot::new(&view(&n), 0, &mut names)).collect();
+        let mut capacity = FreeCapacity::new(slots, 0.0);
+        let spec = spec([cpus, gpus, mem], spot, kind, None);
+        let request = PlacementRequest::new(&spec, &names, Vec::new(), true, false);
+        let counts = capacity.count_by_zone(&request);
+        for zone in ZONES.iter().filter_map(|z| names.known(z)) {
+            let counted = counts.get(&zone).copied().unwrap_or_default();
+            let placed = capacity.try_place(&request, 10_000, None, &[(zone, u32::MAX)], false);
+            prop_assert_eq!(counted.tasks as usize, placed.len());
+            prop_assert_eq!(counted.with_image as usize, capacity.warm(&request, &placed));
+            let keep = counted.tasks / 2;
+            capacity.take_in_zones(&request, &[(zone, u32::MAX)], keep);
+            let left = capacity.count_by_zone(&request).get(&zone).copied().unwrap_or_default();
+            prop_assert_eq!(left.tasks, counted.tasks - keep);
+        }
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
+
 /// Arrays once filled the last room of ordinary machines, and nearly every new
 /// replica stopped one of their tasks: all late jobs had lost one so.
 #[test]
--- /dev/null
+++ b/tests/reachability.rs
@@ -0,0 +1,25 @@
+//! Workers that are apart from their owner.
+
+use finchwood::reachability::*;
+
+/// A restart of all within a cut: told to go to owners they could not
+/// reach, workers spent their lease on the way.
+#[test]
+fn workers_apart_from_their_owner_go_round() {
+    let others = [("b", "west"), ("c", "north"), ("d", "west")];
+    let others = others.map(|(n, z)| (n.to_string(), z.to_string())).to_vec();
+    let mut ways = Reachability::new("east", others, 8.0);
+    assert!(!ways.cut("east", "b", 1.0), "nothing is known");
+    ways.reached("b", false);
+    ways.reached("d", false);
+    assert!(ways.cut("east", "b", 1.0) && !ways.cut("west", "b", 1.0) && !ways.cut("north", "b", 1.0));
+    assert_eq!(ways.around("b", 1.0), None, "nobody has said that it reaches the owner");
+    ways.told("c", vec!["x".into()], 1.0);
+    ways.told("d", vec!["a".into(), "c".into()], 1.0);
+    assert_eq!(ways.around("b", 2.0), Some("c"));
+    assert_eq!(ways.around("c", 2.0), None, "this one reaches it and passes the report on");
+    assert!(ways.cut("west", "c", 2.0), "told by a controller there");
+    assert_eq!((ways.around("b", 10.0), ways.cut("west", "c", 10.0)), (None, false), "long ago");
+    ways.reached("b", true);
+    assert!(!ways.cut("east", "b", 2.0));
+}
