--- a/tests/concurrent_faults.rs
+++ b/tests/concurrent_faults.rs
@@ -1,5 +1,5 @@
-//! Two troubles that meet, one small case for each meeting that broke a rule
-//! or could have: the real cores, driven by hand. `docs/meetings.md` lists them.
+//! Two faults at once, one small case for each pair that broke a rule or could
+//! have: the real cores, driven by hand. `docs/concurrent-faults.md` lists them.
 
 #[path = "common/cores.rs"]
 mod cores;
