--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -94,6 +94,16 @@
         calls
     }
 
+    /// The next epoch has a new leader, and a new owner if `incarnation` is not
+    /// that of the part, which then knows nothing of what was.
+    fn take_over(&mut self, incarnation: u64) {
+        let members = [("a".to_string(), incarnation)].into_iter().collect();
+        let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
+        self.part.enter(epoch.n, incarnation, &self.mirror, self.now, |_| true);
+        self.leader = Leader::new(&settings(&[]).expect("settings"));
+        self.leader.enter(&epoch, incarnation, &self.mirror);
+    }
+
     fn steps(&mut self, count: usize) {
         (0..count).for_each(|_| self.step());
     }
@@ -306,18 +316,25 @@
 // that the attempt may have run. It is withdrawn, and the next has a new number.
 #[test]
 fn a_new_leader_completes_no_attempt_of_which_a_task_is_missing() {
+    a_gang_with_a_missing_task_is_taken_over(7);
+}
+
+// The machines have a new owner as well: nobody says that the missing task is
+// lost, only that it is nowhere. The attempt may have run.
+#[test]
+fn a_task_that_turns_out_to_be_nowhere_ends_the_attempt() {
+    a_gang_with_a_missing_task_is_taken_over(8);
+}
+
+/// One of two tasks is gone as the next epoch begins, with a new leader.
+fn a_gang_with_a_missing_task_is_taken_over(incarnation: u64) {
     let s = gang("wk-1", 2, |_| {});
     let mut b = Bench::new(mirror(3, &[&s]), 3);
     b.steps(2);
     let first = b.shared_attempt(2);
     let lost = b.on_machines()[1].0;
     b.shown[lost].clear();
-    let members: BTreeMap<String, u64> = [("a".to_string(), 7)].into_iter().collect();
-    let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
-    b.part.enter(epoch.n, 7, &b.mirror, b.now, |_| true);
-    let mut l = Leader::new(&settings(&[]).expect("settings"));
-    l.enter(&epoch, 7, &b.mirror);
-    b.leader = l;
+    b.take_over(incarnation);
     for _ in 0..12 {
         b.step();
         let attempts: BTreeSet<u64> = b.on_machines().iter().map(|s| s.1).collect();
@@ -326,28 +343,6 @@
     assert!(b.shared_attempt(2) > first);
 }
 
-// The machines have a new owner as well, and one of them is gone: nobody says
-// that its task is lost, only that it is nowhere. The attempt may have run.
-#[test]
-fn a_task_that_turns_out_to_be_nowhere_ends_the_attempt() {
-    let s = gang("wk-1", 2, |_| {});
-    let mut b = Bench::new(mirror(3, &[&s]), 3);
-    b.steps(2);
-    let first = b.shared_attempt(2);
-    let lost = b.on_machines()[1].0;
-    b.shown[lost].clear();
-    let members: BTreeMap<String, u64> = [("a".to_string(), 8)].into_iter().collect();
-    let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
-    let mut p = Part::new("a", TIMING, Default::default());
-    p.enter(epoch.n, 8, &b.mirror, b.now, |_| true);
-    b.part = p;
-    let mut l = Leader::new(&settings(&[]).expect("settings"));
-    l.enter(&epoch, 8, &b.mirror);
-    b.leader = l;
-    b.steps(12);
-    assert!(b.shared_attempt(2) > first);
-}
-
 // A part that is full by the time its orders come can't start its task. What
 // can't be completed within a share of the time that tasks wait is withdrawn.
 #[test]
