Failures: broken jobs take no machine out of use, one task tries a suspected job

Cause, read in the code: a machine on which tasks of two jobs had failed was closed and deleted, whether the jobs or the machine were at fault, so that each job submitted with a mistake took away the machines it was tried on; a broken job's tasks were all tried again at once, avoided each machine on which one had failed until machines were rented for them, and waited up to 256 s between tries while there was room.

Now the leader judges by all failures and successes: a job that failed on two machines and succeeded nowhere is suspected itself, is tried with one task at most 60 s apart, avoids the last two machines only and says nothing about machines. A machine on which two jobs failed that are not suspected is closed, and replaced once they have succeeded elsewhere.

Ruled out: doing without the wait (each try takes room), telling parts which jobs are suspected (a new field on the wire).

--- /dev/null
+++ b/src/assignment/failures.rs
@@ -0,0 +1,160 @@
+//! Failed tasks: whether the job or the machine is at fault.
+//!
+//! A job that was submitted with a mistake fails on every machine; a faulty
+//! machine fails the tasks of every job. A failure alone does not tell which it
+//! was: the other failures of the same job, and its successes, do.
+
+use super::{Entry, Leader};
+use crate::clock::Secs;
+use crate::jobs::Mirror;
+use crate::wire::{JobId, MachineId, Shape, BEGIN_WITHIN_S};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// On how many machines a job without any success must have failed to be
+/// suspected itself.
+const MACHINES_OF_SUSPECTED_JOB: usize = 2;
+
+/// Of how many jobs tasks must have failed on a machine for it to be suspected.
+const JOBS_OF_SUSPECTED_MACHINE: usize = 2;
+
+/// How many of the latest machines a suspected job avoids. Guard: one that avoided
+/// all machines on which it has failed would soon have machines rented for it.
+const AVOIDED_BY_SUSPECTED_JOB: usize = 2;
+
+/// The most machines that any job avoids, as each assignment names them.
+const MOST_AVOIDED: usize = 16;
+
+/// The longest wait of a job between two tries, as a share of the time in which
+/// users expect a job to begin.
+const LONGEST_WAIT_SHARE: f64 = 0.25;
+
+/// The failures of one job's tasks.
+#[derive(Debug, Default)]
+pub(super) struct JobFailures {
+    /// Machines on which tasks failed, the latest last.
+    machines: Vec<MachineId>,
+    /// How many tries, of one task or of many at once, have failed.
+    failed_tries: u32,
+    /// No task is started before this time.
+    retry_at: Secs,
+    /// Some task has completed: the job has no mistake.
+    succeeded: bool,
+}
+
+impl JobFailures {
+    /// A task has completed.
+    pub fn note_success(&mut self) {
+        self.succeeded = true;
+        self.retry_at = 0.0;
+    }
+
+    /// A task has failed. All that fail until the next try is due belong to the
+    /// same try, so that a large job doesn't wait longer than a small one.
+    pub fn note_failure(&mut self, machine: Option<MachineId>, report_s: Secs, now: Secs) {
+        if let Some(machine) = machine {
+            self.machines.retain(|known| *known != machine);
+            self.machines.push(machine);
+        }
+        if !self.suspected() || now < self.retry_at {
+            return;
+        }
+        self.failed_tries += 1;
+        let wait = report_s * 2f64.powi(self.failed_tries.min(30) as i32);
+        // Guard: a job may be right after all, and must not wait for minutes
+        // while there is room.
+        self.retry_at = now + wait.min(BEGIN_WITHIN_S * LONGEST_WAIT_SHARE);
+    }
+
+    /// Whether the job itself seems to be at fault.
+    pub fn suspected(&self) -> bool {
+        !self.succeeded && self.machines.len() >= MACHINES_OF_SUSPECTED_JOB
+    }
+
+    /// Whether its tasks must wait for the next try.
+    pub fn waits(&self, now: Secs) -> bool {
+        now < self.retry_at
+    }
+
+    /// Machines on which its tasks are not tried again for now.
+    pub fn avoided(&self) -> &[MachineId] {
+        let most = if self.suspected() { AVOIDED_BY_SUSPECTED_JOB } else { MOST_AVOIDED };
+        &self.machines[self.machines.len().saturating_sub(most)..]
+    }
+}
+
+impl Entry {
+    /// How many of `free` tasks may be started. A suspected job is tried with one
+    /// task: all of them would take the same room again and again.
+    pub(super) fn tries_allowed(&self, free: usize) -> usize {
+        if !self.failures.suspected() || self.spec.shape == Shape::Gang {
+            return free;
+        }
+        let replicas_run = self.spec.shape == Shape::Service && self.has_running_task();
+        match (replicas_run, self.dealt.is_empty()) {
+            (true, _) => free,
+            (false, true) => free.min(1),
+            (false, false) => 0,
+        }
+    }
+}
+
+/// What failures say about a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineFault {
+    /// Tasks of several jobs failed there, and nothing shows yet whether the jobs
+    /// are at fault: it gets no new tasks.
+    Suspected,
+    /// They have succeeded elsewhere: it is replaced.
+    Proven,
+}
+
+/// Jobs with tasks that failed on each machine.
+pub(super) type FailedOn = BTreeMap<MachineId, BTreeSet<JobId>>;
+
+/// What a failure says about the machine it happened on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// Nothing: the job is at fault, or nobody will know.
+    None,
+    /// The job has succeeded nowhere yet.
+    Weak,
+    /// The job has succeeded elsewhere.
+    Strong,
+}
+
+impl Leader {
+    /// Machines that failures speak against. Guard: jobs that fail everywhere say
+    /// nothing about the machines, or each broken job would take away those that
+    /// it was tried on.
+    pub fn machine_faults(&self, mirror: &Mirror) -> BTreeMap<MachineId, MachineFault> {
+        let fault = |jobs: &BTreeSet<JobId>| {
+            let evidence = || jobs.iter().map(|job| self.evidence(job, mirror));
+            let strong = evidence().filter(|e| *e == Evidence::Strong).count();
+            let any = evidence().filter(|e| *e != Evidence::None).count();
+            if strong >= JOBS_OF_SUSPECTED_MACHINE {
+                Some(MachineFault::Proven)
+            } else {
+                (any >= JOBS_OF_SUSPECTED_MACHINE).then_some(MachineFault::Suspected)
+            }
+        };
+        self.failed_on.iter().filter_map(|(machine, jobs)| Some((machine.clone(), fault(jobs)?))).collect()
+    }
+
+    fn evidence(&self, job: &JobId, mirror: &Mirror) -> Evidence {
+        match self.jobs.get(job) {
+            Some(entry) if entry.failures.succeeded => Evidence::Strong,
+            Some(entry) if entry.failures.suspected() => Evidence::None,
+            Some(_) => Evidence::Weak,
+            None if mirror.jobs.get(job).is_some_and(|j| j.record.done) => Evidence::Strong,
+            None => Evidence::None,
+        }
+    }
+
+    /// Notes which machines failures speak against; they get no new tasks.
+    pub fn close_faulty(&mut self, mirror: &Mirror) -> BTreeMap<MachineId, MachineFault> {
+        self.failed_on.retain(|machine, _| mirror.roster.contains_key(machine));
+        let faults = self.machine_faults(mirror);
+        self.faulty = faults.keys().cloned().collect();
+        faults
+    }
+}
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -6,6 +6,7 @@
 //! has proven where it is). Only free tasks are dealt.
 
 mod choice;
+mod failures;
 mod finishes;
 mod gang;
 mod machines;
@@ -14,6 +15,7 @@
 mod round;
 mod urgency;
 
+pub use failures::MachineFault;
 pub use finishes::Finish;
 pub use machines::{MachineNews, MachineNow, PartView};
 pub use urgency::Aims;
@@ -57,8 +59,7 @@
     committing: bool,
     commit_after: Secs,
     retry_after: Secs,
-    not_before: Secs,
-    errors: BTreeMap<MachineId, u32>,
+    failures: failures::JobFailures,
     /// Of a gang: the attempt that its tasks share.
     attempt: Option<gang::Attempt>,
     /// Since when a service that is bound to the zone of its tasks has had no
@@ -70,9 +71,6 @@
     room: BTreeMap<Arc<str>, Vec<(Arc<str>, u32)>>,
 }
 
-/// How often the wait after a failure is doubled at the most.
-const MOST_DOUBLINGS: u32 = 6;
-
 impl Dealt {
     /// The order of assignments of a task.
     fn order(&self) -> (u64, u64) {
@@ -88,16 +86,8 @@
         let differ = unlisted.filter(|(_, d)| &*d.part == node && d.assignment != d.attempt);
         differ.map(|(index, d)| (index, d.assignment)).collect()
     }
-    /// A task failed on a machine. One that fails wherever it runs would take the
-    /// same room again and again: it waits longer each time.
-    fn note_error(&mut self, machine: Option<MachineId>, report_s: Secs, now: Secs) {
-        if let Some(machine) = machine {
-            *self.errors.entry(machine).or_default() += 1;
-        }
-        let total: u32 = self.errors.values().sum();
-        if self.errors.len() >= 2 {
-            self.not_before = now + report_s * f64::from(1u32 << total.min(MOST_DOUBLINGS));
-        }
+    fn has_running_task(&self) -> bool {
+        self.dealt.values().any(|dealt| dealt.phase == Phase::Running)
     }
     fn unassign(&mut self, index: u32) -> Option<Dealt> {
         self.unlisted.remove(&index);
@@ -136,6 +126,10 @@
     gangs_allowed: bool,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
+    /// Jobs with tasks that failed on each machine.
+    failed_on: failures::FailedOn,
+    /// Machines that failures speak against: they take no more tasks.
+    faulty: BTreeSet<MachineId>,
     /// CPUs on ordinary machines that are kept free for services to come.
     pub reserve: f64,
     /// Machines whose replicas are to move to others.
@@ -167,6 +161,8 @@
             gangs_allowed: true,
             drain: BTreeSet::new(),
             moving: BTreeSet::new(),
+            failed_on: failures::FailedOn::new(),
+            faulty: BTreeSet::new(),
             reserve: 0.0,
             wants: Vec::new(),
             cursor: None,
@@ -181,6 +177,8 @@
             self.jobs.clear();
             self.drain.clear();
             self.moving.clear();
+            self.failed_on.clear();
+            self.faulty.clear();
         }
         // Parts that live on and hand no machine over, as nobody is new: what
         // was dealt to them is theirs still, or nowhere. Without this, one
@@ -253,8 +251,7 @@
                 committing: false,
                 commit_after: 0.0,
                 retry_after: 0.0,
-                not_before: 0.0,
-                errors: BTreeMap::new(),
+                failures: failures::JobFailures::default(),
                 attempt: None,
                 stuck_since: None,
                 leaving: false,
@@ -263,6 +260,9 @@
             self.jobs.insert(id.clone(), entry);
         }
         let Some(entry) = self.jobs.get_mut(id) else { return };
+        if !job.finished.is_empty() {
+            entry.failures.note_success();
+        }
         let over: Vec<u32> = entry.finishing.iter().filter(|&i| job.finished.has(i)).collect();
         for i in over {
             entry.finishing.remove(i);
--- a/src/assignment/orders.rs
+++ b/src/assignment/orders.rs
@@ -20,7 +20,7 @@
                     job: id.clone(),
                     tasks,
                     zone_room: e.room.get(node).cloned().filter(|_| e.spec.one_zone || e.spec.scatter),
-                    avoid: e.errors.keys().cloned().collect(),
+                    avoid: e.failures.avoided().to_vec(),
                     assignments: e.assignments(node),
                 });
             }
@@ -54,7 +54,7 @@
             ack,
             deals,
             recall,
-            drain: self.drain.iter().cloned().collect(),
+            drain: self.drain.union(&self.faulty).cloned().collect(),
             running,
         })
     }
--- a/src/assignment/reports.rs
+++ b/src/assignment/reports.rs
@@ -107,6 +107,7 @@
             for task in done {
                 entry.finishing.add(task);
             }
+            entry.failures.note_success();
         }
         entry.unknown.remove(index);
         let dealt = Dealt {
@@ -141,7 +142,10 @@
             attempt.lost_task();
         }
         if gone.how == Leave::Error {
-            entry.note_error(gone.machine, report_s, now);
+            entry.failures.note_failure(gone.machine.clone(), report_s, now);
+            if let Some(machine) = gone.machine {
+                self.failed_on.entry(machine).or_default().insert(gone.task.job);
+            }
         }
     }
 
--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -9,7 +9,7 @@
 use crate::fleet::Phase;
 use crate::jobs::{Job, Mirror};
 use crate::rent::Want;
-use crate::wire::{JobId, MachineId, Rank, Res, Shape, BEGIN_WITHIN_S};
+use crate::wire::{JobId, Rank, Res, Shape, BEGIN_WITHIN_S};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -28,7 +28,9 @@
     /// Free room of every open machine, less what is dealt and not placed.
     pub(super) fn capacity(&self) -> FreeCapacity {
         let open = self.parts.values().flat_map(|p| p.machines.values());
-        let open = open.filter(|m| m.view.open && !self.drain.contains(&m.view.id));
+        let open = open.filter(|m| {
+            m.view.open && !self.drain.contains(&m.view.id) && !self.faulty.contains(&m.view.id)
+        });
         let mut capacity = FreeCapacity::new(open.map(|m| m.slot.clone()).collect(), self.reserve);
         for e in self.jobs.values() {
             let mut request = None;
@@ -104,7 +106,7 @@
         let guaranteed = self.guaranteed(round.mirror);
         let live = |id: &JobId| round.mirror.jobs.get(id).is_some_and(|j| j.live());
         let may_have_free =
-            |e: &Entry| round.now >= e.not_before && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks;
+            |e: &Entry| !e.failures.waits(round.now) && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks;
         let waiting = self.jobs.iter().filter(|(id, e)| live(id) && may_have_free(e));
         let mut order: Vec<(Stage, Rank, u8, i64, JobId)> = waiting
             .map(|(id, e)| {
@@ -131,10 +133,11 @@
             mem: f64::INFINITY,
         };
         let quota = left.count(&Res { mem: 0.0, ..e.spec.ask() }) as usize;
+        let most = e.tries_allowed(quota);
         let free = |i: &u32| {
             !job.finished.has(*i) && !e.finishing.has(*i) && !e.unknown.has(*i) && !e.dealt.contains_key(i)
         };
-        (0..e.spec.tasks).filter(free).take(quota).collect()
+        (0..e.spec.tasks).filter(free).take(most).collect()
     }
 
     /// Assigns what is free of one job; what has no room is wanted.
@@ -177,9 +180,8 @@
 
     fn request(&self, e: &Entry, mirror: &Mirror) -> PlacementRequest {
         let spec = &e.spec;
-        let avoid: Vec<MachineId> = e.errors.keys().cloned().collect();
         let quick = best_fit::in_a_hurry(spec, &self.start_aims, mirror.catalog.as_deref());
-        let request = PlacementRequest::new(spec, &self.names, avoid, quick, spec.rank == Rank::Prod);
+        let request = PlacementRequest::new(spec, &self.names, e.failures.avoided().to_vec(), quick, spec.rank == Rank::Prod);
         // The start of a gang with an aim needs room at once in a single zone.
         if spec.shape == Shape::Gang && self.start_aims.contains_key(&spec.class) {
             request.with_reserve()
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -3,7 +3,7 @@
 
 use super::inflight::{InFlight, Serial};
 use super::{Controller, Tag};
-use crate::assignment::MachineNow;
+use crate::assignment::{MachineFault, MachineNow};
 use crate::clock::{self, Secs};
 use crate::cloud;
 use crate::failure_detection::{FailureDetector, MachineHealth, Verdict};
@@ -268,6 +268,7 @@
                 });
             }
         }
+        let faults = self.leader.close_faulty(&self.mirror);
         let mut dead = never;
         let mut drained = Vec::new();
         let mut free_ordinary = 0.0;
@@ -291,7 +292,10 @@
                 Verdict::Wait => continue,
                 Verdict::Keep => {}
             }
-            if m.faulty && m.tasks == 0 || m.draining && m.tasks == 0 && m.certain {
+            let proven = faults.get(&m.id) == Some(&MachineFault::Proven);
+            // Guard: a machine that is suspected for a while only is not returned.
+            let empties = m.draining && m.certain && self.leader.drain.contains(&m.id);
+            if m.tasks == 0 && (proven || empties) {
                 drained.push(m.id.clone());
             }
             if !m.spot && m.open {
@@ -305,7 +309,7 @@
                 idle_s: m.idle_s,
                 age_s,
                 tasks: m.tasks,
-                open: m.open && !self.leader.drain.contains(&m.id),
+                open: m.open && !self.leader.drain.contains(&m.id) && !faults.contains_key(&m.id),
                 stays_cpus: catalog
                     .get(&m.kind)
                     .map_or(0.0, |t| t.cpus - m.free.cpus - m.yielding.cpus)
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -39,7 +39,6 @@
             && m.certain
             && !m.draining
             && m.notice_until.is_none()
-            && !m.faulty()
             && !m.suspect(self.timing.report_s, now)
             && m.heard.is_some_and(|h| now - h < self.timing.report_s * 2.5)
     }
