controller: leading, renting, answers of the cloud and commits apart; review in named steps

No decision and no byte changes. rent_and_return (about 200 lines) is now steps over what is up and what is not; tuples of rentals and refusals are types; times have names.

--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -28,9 +28,8 @@
     /// Free room of every open machine, less what is dealt and not placed.
     pub(super) fn capacity(&self) -> FreeCapacity {
         let open = self.parts.values().flat_map(|p| p.machines.values());
-        let open = open.filter(|m| {
-            m.view.open && !self.drain.contains(&m.view.id) && !self.faulty.contains(&m.view.id)
-        });
+        let open = open
+            .filter(|m| m.view.open && !self.drain.contains(&m.view.id) && !self.faulty.contains(&m.view.id));
         let mut capacity = FreeCapacity::new(open.map(|m| m.slot.clone()).collect(), self.reserve);
         for e in self.jobs.values() {
             let mut request = None;
@@ -105,8 +104,9 @@
     fn jobs_in_order(&mut self, round: &Round) -> Vec<JobId> {
         let guaranteed = self.guaranteed(round.mirror);
         let live = |id: &JobId| round.mirror.jobs.get(id).is_some_and(|j| j.live());
-        let may_have_free =
-            |e: &Entry| !e.failures.waits(round.now) && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks;
+        let may_have_free = |e: &Entry| {
+            !e.failures.waits(round.now) && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks
+        };
         let waiting = self.jobs.iter().filter(|(id, e)| live(id) && may_have_free(e));
         let mut order: Vec<(Stage, Rank, u8, i64, JobId)> = waiting
             .map(|(id, e)| {
@@ -181,7 +181,13 @@
     fn request(&self, e: &Entry, mirror: &Mirror) -> PlacementRequest {
         let spec = &e.spec;
         let quick = best_fit::in_a_hurry(spec, &self.start_aims, mirror.catalog.as_deref());
-        let request = PlacementRequest::new(spec, &self.names, e.failures.avoided().to_vec(), quick, spec.rank == Rank::Prod);
+        let request = PlacementRequest::new(
+            spec,
+            &self.names,
+            e.failures.avoided().to_vec(),
+            quick,
+            spec.rank == Rank::Prod,
+        );
         // The start of a gang with an aim needs room at once in a single zone.
         if spec.shape == Shape::Gang && self.start_aims.contains_key(&spec.class) {
             request.with_reserve()
--- /dev/null
+++ b/src/controller/commits.rs
@@ -0,0 +1,99 @@
+//! Commits of finished tasks: only once they are committed may anybody call a job
+//! done, or a worker forget a result.
+
+use super::inflight::{InFlight, Serial};
+use super::{Controller, Tag};
+use crate::assignment::Finish;
+use crate::clock::Secs;
+use crate::finished::{chunks_covering, tasks_per_chunk};
+use crate::jobs::{job_key, Job, JobRecord};
+use crate::settings::StateLimits;
+use crate::state::{Class, Op, Outcome, Write, BULK_SHARE};
+use crate::wire::JobId;
+
+/// Commits of finished tasks that are under way.
+pub(super) type FinishesInFlight = InFlight<JobId, Vec<Op>>;
+
+/// How long a commit of finished tasks may take, in seconds.
+const COMMIT_S: Secs = 2.0;
+
+/// A transaction's conditions and operations.
+struct Transaction {
+    conditions: Vec<(String, u64)>,
+    ops: Vec<Op>,
+}
+
+impl Controller {
+    /// Commits what is seen done: the chunks of finished tasks, or the end of
+    /// the job.
+    pub(super) fn commit_finished(&mut self, now: Secs) {
+        // Few at a time: they are paced by the write rate, and a job's end
+        // must not wait behind the progress of others.
+        let limits = self.settings.params.state.clone();
+        let most = (limits.write_rps * BULK_SHARE / 2.0).max(2.0) as usize;
+        let room = most.saturating_sub(self.finishes.len());
+        for finish in self.leader.finishes(now, room, &self.mirror) {
+            let Some(job) = self.mirror.jobs.get(&finish.job).filter(|job| job.live()) else {
+                self.leader.finish_answered(&finish.job, now, now);
+                continue;
+            };
+            let Transaction { conditions, ops } = finish_transaction(&finish, job, &limits);
+            let serial = self.finishes.next();
+            let tag = Tag::Finish(finish.job.clone(), serial);
+            let write = Write { conditions, ops: ops.clone(), deadline: now + COMMIT_S, tag };
+            if self.writer.send(Class::Bulk, write).is_err() {
+                self.leader.finish_answered(&finish.job, now, now);
+            } else {
+                self.finishes.sent(serial, finish.job, ops);
+            }
+        }
+    }
+
+    /// What was committed is known at once: a second commit with the versions
+    /// of before would only be refused, and count against the rate.
+    pub(super) fn finish_written(&mut self, job: &JobId, serial: Serial, outcome: Outcome, now: Secs) {
+        let ops = self.finishes.answered(serial).map(|write| write.1).unwrap_or_default();
+        let Outcome::Done(version) = outcome else {
+            let retry_at = now + self.settings.params.workers.report_s / 6.0;
+            return self.leader.finish_answered(job, now, retry_at);
+        };
+        for op in ops {
+            if let Op::Put { key, value, .. } = op {
+                self.mirror.put(&key, value, version);
+            }
+        }
+        self.job_changed(job);
+        self.leader.finish_answered(job, now, now);
+    }
+}
+
+fn finish_transaction(finish: &Finish, job: &Job, limits: &StateLimits) -> Transaction {
+    let mut finished = job.finished.clone();
+    for &task in &finish.tasks {
+        finished.add(task);
+    }
+    let mut conditions = vec![(job_key(&finish.job), job.version)];
+    if finished.len() == job.record.tasks {
+        return Transaction { conditions, ops: end_of_job(&finish.job, job, limits) };
+    }
+    let per_chunk = tasks_per_chunk(limits.lowest_value_kb());
+    let mut ops = Vec::new();
+    let ranges = chunks_covering(&finish.tasks, job.record.tasks, per_chunk);
+    for range in ranges.into_iter().take(limits.lowest_txn_ops()) {
+        let key = range.chunk.key(&finish.job);
+        conditions.push((key.clone(), job.chunks.get(&range.chunk).copied().unwrap_or(0)));
+        let value = finished.hex(range.first, range.len).into();
+        ops.push(Op::Put { key, value, lease: None });
+    }
+    Transaction { conditions, ops }
+}
+
+/// The job's record as done, in place of its chunks.
+fn end_of_job(id: &JobId, job: &Job, limits: &StateLimits) -> Vec<Op> {
+    let record = JobRecord { spec: None, done: true, ..job.record.clone() };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    let mut ops = vec![Op::Put { key: job_key(id), value, lease: None }];
+    let room = limits.lowest_txn_ops().saturating_sub(1);
+    ops.extend(job.chunks.keys().take(room).map(|chunk| Op::Delete { key: chunk.key(id) }));
+    ops
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,8 +2,11 @@
 //! node's part of the fleet and, while it leads, the leader's table. Everything
 //! else speaks to it by messages, and it never waits for the network.
 
+mod cloud_answers;
+mod commits;
 mod inflight;
 mod leading;
+mod renting;
 mod roster;
 mod users;
 
@@ -20,9 +23,11 @@
 use crate::settings::Settings;
 use crate::state::{self, Budget, Class, Feed, Op, Outcome, Write, Writer};
 use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
+use commits::FinishesInFlight;
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use inflight::Serial;
-use leading::Renting;
+use leading::LeaderPace;
+use renting::Renting;
 use roster::Roster;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -83,6 +88,8 @@
     leader: Leader,
     users: Users,
     renting: Renting,
+    pace: LeaderPace,
+    finishes: FinishesInFlight,
     roster: Roster,
     /// Workers of other parts that came here.
     redirected: HashMap<MachineId, Passing>,
@@ -186,6 +193,8 @@
             lease_until: 0.0,
             users: Users::default(),
             renting: Renting::default(),
+            pace: LeaderPace::default(),
+            finishes: FinishesInFlight::default(),
             roster: Roster::default(),
             redirected: HashMap::new(),
             called_off: Vec::new(),
--- /dev/null
+++ b/src/controller/renting.rs
@@ -0,0 +1,436 @@
+//! The leader's review of the whole fleet: which machines are rented, emptied,
+//! returned or replaced.
+
+use super::Controller;
+use crate::assignment::{MachineFault, MachineNow};
+use crate::clock::{self, Secs};
+use crate::cloud;
+use crate::failure_detection::{FailureDetector, MachineHealth, Verdict};
+use crate::rent::{self, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
+use crate::settings::Workers;
+use crate::wire::{Catalog, MachineId, RentRequest, Shape};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+/// The most machines that one request may name.
+const MOST_RENTED: u32 = 50;
+
+/// The most machines that one deletion may name.
+const MOST_DELETED: usize = 100;
+
+/// The share of all replicas that may be moved in a second.
+const MOVED_PER_S: f64 = 1.0 / 750.0;
+
+/// A rental without a certain answer yet.
+#[derive(Debug)]
+struct OpenRental {
+    request: RentRequest,
+    /// When to ask again.
+    retry_at: Secs,
+    /// The cloud has been asked and has not answered.
+    pending: bool,
+}
+
+/// An offer of which the cloud had too few machines.
+#[derive(Debug, Clone, Copy, Default)]
+struct NoCapacity {
+    /// It is not asked for before.
+    until: Secs,
+    /// How often in a row.
+    refusals: u32,
+}
+
+/// The leader's dealings with the cloud.
+#[derive(Debug, Default)]
+pub(crate) struct Renting {
+    counter: u64,
+    open: HashMap<String, OpenRental>,
+    no_capacity: HashMap<Offer, NoCapacity>,
+    /// Deletions under way, and when to ask again.
+    deleting: HashMap<MachineId, Secs>,
+    /// Machines that are certainly gone, and since when that is known.
+    pub(super) deleted: HashMap<MachineId, Secs>,
+    pub(super) list: super::cloud_answers::ListState,
+    catalog_due: Secs,
+    pub(super) catalog_pending: bool,
+    rented_at: Secs,
+    emptied_at: Secs,
+    move_after: Secs,
+    /// When the present epoch began to be led.
+    led_since: Secs,
+}
+
+impl Renting {
+    /// This node leads from now on.
+    pub(super) fn lead(&mut self, now: Secs) {
+        self.led_since = now;
+        self.list.lead();
+    }
+
+    /// A machine is off the roster.
+    pub(super) fn forget(&mut self, id: &MachineId) {
+        self.deleting.remove(id);
+        self.list.forget(id);
+    }
+
+    /// The catalogue's write was answered.
+    pub(super) fn catalog_written(&mut self) {
+        self.catalog_pending = false;
+    }
+
+    /// The catalogue is asked for again by `at`.
+    pub(super) fn catalog_due_by(&mut self, at: Secs) {
+        self.catalog_due = self.catalog_due.min(at);
+    }
+
+    /// A rental has got its final answer.
+    pub(super) fn rental_closed(&mut self, request: &RentRequest) {
+        self.open.remove(&request.request);
+    }
+
+    /// A rental has got no certain answer: the same is asked again.
+    pub(super) fn rental_unknown(&mut self, request: RentRequest, retry_at: Secs) {
+        if let Some(open) = self.open.get_mut(&request.request) {
+            *open = OpenRental { request, retry_at, pending: false };
+        }
+    }
+
+    /// An offer was rented in full.
+    pub(super) fn has_capacity(&mut self, offer: &Offer) {
+        self.no_capacity.remove(offer);
+    }
+
+    /// The cloud has too few machines of an offer. Capacity comes back as machines
+    /// are returned: it is asked again after a while, and less often the longer
+    /// there is none.
+    pub(super) fn lacks_capacity(&mut self, offer: Offer, report_s: Secs, now: Secs) {
+        const MOST_REFUSALS: u32 = 4;
+        let refused = self.no_capacity.entry(offer).or_default();
+        refused.refusals = (refused.refusals + 1).min(MOST_REFUSALS);
+        refused.until = now + report_s * f64::from(refused.refusals) * 2.0;
+    }
+
+    /// Machines are certainly gone.
+    pub(super) fn note_deleted(&mut self, machines: Vec<MachineId>, now: Secs) {
+        for id in machines {
+            self.deleting.remove(&id);
+            self.deleted.insert(id, now);
+        }
+    }
+
+    /// A deletion has failed, or nobody knows: the same is asked again.
+    pub(super) fn deletion_failed(&mut self, machines: Vec<MachineId>, retry_at: Secs) {
+        self.deleting.extend(machines.into_iter().map(|id| (id, retry_at)));
+    }
+
+    /// Machines to come of rentals that have not been answered.
+    fn unanswered(&self) -> impl Iterator<Item = Booting> + '_ {
+        self.open.values().flat_map(|OpenRental { request, .. }| {
+            let offer = (request.kind.clone(), request.zone.clone(), request.spot);
+            let booting = Booting { id: "".into(), offer, age_s: 0.0 };
+            std::iter::repeat_n(booting, request.count as usize)
+        })
+    }
+}
+
+/// Machines on the roster that have not reported yet.
+#[derive(Default)]
+struct NotUp {
+    booting: Vec<Booting>,
+    /// They should have long been up.
+    never: Vec<MachineId>,
+    /// Ordinary machines of each zone, up or not.
+    ordinary_in_zone: BTreeMap<Arc<str>, u32>,
+}
+
+/// Machines that have reported.
+#[derive(Default)]
+struct Up {
+    in_use: Vec<InUse>,
+    /// To be deleted: dead, faulty or emptied.
+    delete: Vec<MachineId>,
+    /// CPUs on ordinary machines that are free for services, or soon will be.
+    free_ordinary: f64,
+}
+
+impl Controller {
+    /// Looks over the fleet and has machines deleted, emptied and rented.
+    pub(super) fn rent_and_return(&mut self, now: Secs) {
+        self.ask_cloud(now);
+        let Some(catalog) = self.mirror.catalog.clone() else { return };
+        let Workers { report_s, lease_s, .. } = self.settings.params.workers;
+        let signs = self.signs(now);
+        let detector = FailureDetector::new(report_s, lease_s, signs.values());
+        let not_up = self.machines_not_up(&catalog, &detector, now);
+        let up = self.machines_up(&catalog, &detector, &signs, now);
+        let mut delete = not_up.never;
+        delete.extend(up.delete);
+        delete.extend(self.machines_not_rid_of_cancelled_tasks());
+        self.delete(delete, now);
+        let spare = self.leader.service_cpus() * self.policy.knobs.spare_share;
+        self.leader.reserve = spare;
+        self.empty_machines(&up.in_use, &catalog, spare, now);
+        if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
+            return;
+        }
+        let wants = self.wants(spare - up.free_ordinary);
+        if wants.is_empty() {
+            return;
+        }
+        self.renting.rented_at = now;
+        let lacking = |offer: &Offer| self.renting.no_capacity.get(offer).is_some_and(|n| now < n.until);
+        let blocked = |offer: &Offer| detector.lost(&offer.1) || lacking(offer);
+        let zones = &not_up.ordinary_in_zone;
+        let orders = rent::rent(&wants, &not_up.booting, zones, &catalog, &self.policy.knobs, &blocked);
+        self.rent(orders, now);
+    }
+
+    /// Asks the cloud what is due: the catalogue, the machine list, rentals that
+    /// have got no certain answer.
+    fn ask_cloud(&mut self, now: Secs) {
+        if now >= self.renting.catalog_due && self.cloud.try_send(cloud::Ask::Catalog).is_ok() {
+            self.renting.catalog_due = now + LEAST_CHARGE_S;
+        }
+        if self.renting.list.due(now) && self.cloud.try_send(cloud::Ask::List).is_ok() {
+            self.renting.list.asked(now, self.settings.params.cloud.list_lag_s);
+        }
+        for open in self.renting.open.values_mut().filter(|o| !o.pending && now >= o.retry_at) {
+            open.pending = self.cloud.try_send(cloud::Ask::Rent(open.request.clone())).is_ok();
+        }
+    }
+
+    /// What is on the roster, or on its way there, and has not reported.
+    fn machines_not_up(&self, catalog: &Catalog, detector: &FailureDetector, now: Secs) -> NotUp {
+        let day_ms = clock::day_ms();
+        let report_s = self.settings.params.workers.report_s;
+        let reported: HashSet<&MachineId> =
+            self.leader.machines().filter(|m| m.heard).map(|m| &m.id).collect();
+        let rostered = self.mirror.roster.iter().map(|(id, (record, _))| (id, record));
+        let on_the_way = self.roster.fresh.iter().map(|(id, (_, record))| (id, record));
+        let on_the_way = on_the_way.filter(|(id, _)| !self.mirror.roster.contains_key(*id));
+        let mut out = NotUp::default();
+        for (id, record) in rostered.chain(on_the_way) {
+            if !record.spot {
+                *out.ordinary_in_zone.entry(record.zone.clone()).or_default() += 1;
+            }
+            if record.up || reported.contains(id) || self.renting.deleted.contains_key(id) {
+                continue;
+            }
+            // Whether it is up can't be seen, and nothing can be run there.
+            if detector.lost(&record.zone) {
+                continue;
+            }
+            let age_s = day_ms.saturating_sub(record.at_ms) as f64 / 1000.0;
+            let boot_s = catalog.get(&record.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+            // That it is up may not have been written before the leader changed.
+            let heard_by_now = now - self.renting.led_since > report_s * 2.5;
+            if age_s > boot_s * self.policy.knobs.never_boots + 10.0 && heard_by_now {
+                out.never.push(id.clone());
+            } else {
+                let offer = (record.kind.clone(), record.zone.clone(), record.spot);
+                out.booting.push(Booting { id: id.clone(), offer, age_s });
+            }
+        }
+        out.booting.extend(self.renting.unanswered());
+        out
+    }
+
+    /// What has reported, by whether it is still of use.
+    fn machines_up(
+        &mut self,
+        catalog: &Catalog,
+        detector: &FailureDetector,
+        signs: &HashMap<MachineId, MachineHealth>,
+        now: Secs,
+    ) -> Up {
+        let faults = self.leader.close_faulty(&self.mirror);
+        let day_ms = clock::day_ms();
+        let mut out = Up::default();
+        let mut emptied = Vec::new();
+        for m in self.leader.machines_at(now) {
+            let Some(sign) = signs.get(&m.id).filter(|_| !self.renting.deleted.contains_key(&m.id)) else {
+                continue;
+            };
+            match detector.verdict(sign) {
+                Verdict::Replace => {
+                    tracing::debug!(id = %m.id, ?sign, "replaced");
+                    out.delete.push(m.id.clone());
+                    continue;
+                }
+                // Not idle: returned, the whole zone's machines were rented and
+                // booted anew once the cut was over.
+                Verdict::Wait => continue,
+                Verdict::Keep => {}
+            }
+            let draining = self.leader.drain.contains(&m.id);
+            let proven_faulty = faults.get(&m.id) == Some(&MachineFault::Proven);
+            // Guard: one that is closed for a while on suspicion is not returned.
+            if m.tasks == 0 && (proven_faulty || m.draining && m.certain && draining) {
+                emptied.push(m.id.clone());
+            }
+            if !m.spot && m.open {
+                // Of lower work there, half ends while a machine boots.
+                out.free_ordinary += (m.free.cpus + m.yielding.cpus / 2.0).max(0.0);
+            }
+            let rented_ms = self.mirror.roster.get(&m.id).map_or(day_ms, |(record, _)| record.at_ms);
+            let yields_cpus = m.free.cpus + m.yielding.cpus;
+            out.in_use.push(InUse {
+                id: m.id.clone(),
+                offer: (m.kind.clone(), m.zone.clone(), m.spot),
+                free: m.free,
+                idle_s: m.idle_s,
+                age_s: day_ms.saturating_sub(rented_ms) as f64 / 1000.0,
+                tasks: m.tasks,
+                open: m.open && !draining && !faults.contains_key(&m.id),
+                stays_cpus: catalog.get(&m.kind).map_or(0.0, |t| t.cpus - yields_cpus).max(0.0),
+            });
+        }
+        out.delete.extend(emptied);
+        out
+    }
+
+    /// Machines that may still run tasks cancelled a while ago. Guard: a worker that
+    /// hangs or obeys nothing keeps what its lease would end. Deleted, it is gone
+    /// for certain, in the time that is left.
+    fn machines_not_rid_of_cancelled_tasks(&self) -> Vec<MachineId> {
+        let after_s = self.settings.evict_after_s() - self.settings.params.time_bound_ms / 500.0;
+        let machines = self.leader.not_rid(&self.mirror, clock::day_ms(), after_s.max(0.0));
+        if !machines.is_empty() {
+            tracing::info!(not_rid = ?machines, "cancelled tasks may still be there");
+        }
+        machines.into_iter().collect()
+    }
+
+    /// Has machines deleted that are not being deleted already.
+    pub(super) fn delete(&mut self, ids: Vec<MachineId>, now: Secs) {
+        let renting = &self.renting;
+        let due = |id: &MachineId| {
+            !renting.deleted.contains_key(id) && renting.deleting.get(id).is_none_or(|&retry| now >= retry)
+        };
+        let ids: Vec<MachineId> = ids.into_iter().filter(due).take(MOST_DELETED).collect();
+        if ids.is_empty() {
+            return;
+        }
+        let retry_at = now + self.settings.params.workers.report_s * 2.0;
+        self.renting.deletion_failed(ids.clone(), retry_at);
+        tracing::info!(?ids, "deleting machines");
+        let _ = self.cloud.try_send(cloud::Ask::Delete(ids));
+    }
+
+    /// Chooses machines that take no more tasks, so that they can be returned; opens
+    /// some of them again if there is work for them after all.
+    fn empty_machines(&mut self, in_use: &[InUse], catalog: &Catalog, spare: f64, now: Secs) {
+        let report_s = self.settings.params.workers.report_s;
+        self.leader.drain.extend(rent::returns(in_use, catalog, spare, &self.policy.knobs));
+        if !self.leader.wants.is_empty() {
+            self.reopen_machines(in_use);
+        } else {
+            if now - self.renting.emptied_at > report_s {
+                self.renting.emptied_at = now;
+                for id in rent::to_empty(in_use, catalog, spare, &self.policy.knobs) {
+                    tracing::debug!(%id, "emptying");
+                    self.leader.drain.insert(id);
+                }
+            }
+            self.move_replicas(in_use, catalog, spare, now);
+        }
+        let roster = &self.mirror.roster;
+        self.leader.drain.retain(|id| roster.contains_key(id));
+        self.leader.moving.retain(|id| roster.contains_key(id));
+    }
+
+    /// Opens as many machines that were to be emptied as the waiting work needs.
+    fn reopen_machines(&mut self, in_use: &[InUse]) {
+        let wanted_cpus = |want: &Want| want.ask.cpus * f64::from(want.count);
+        let mut needed: f64 = self.leader.wants.iter().map(wanted_cpus).sum();
+        for m in in_use.iter().filter(|m| m.tasks > 0) {
+            if needed <= 0.0 || !self.leader.drain.contains(&m.id) {
+                continue;
+            }
+            needed -= m.free.cpus.max(0.0);
+            self.leader.drain.remove(&m.id);
+            self.leader.moving.remove(&m.id);
+        }
+    }
+
+    /// Moves the replicas of machines that are mostly empty, so that these can be
+    /// returned. Each replica is away for about a second, so that only a small
+    /// share of all is moved in any while.
+    fn move_replicas(&mut self, in_use: &[InUse], catalog: &Catalog, spare: f64, now: Secs) {
+        if !self.leader.resolved() {
+            return;
+        }
+        let report_s = self.settings.params.workers.report_s;
+        let all = self.leader.service_cpus().max(1.0);
+        let mut in_use = in_use.to_vec();
+        let mut moved = 0.0;
+        let after = &mut self.renting.move_after;
+        *after = after.max(now - report_s / 12.0);
+        while now >= *after {
+            let Some(m) = rent::to_move(&in_use, catalog, spare + moved) else { return };
+            let (id, cpus) = (m.id.clone(), m.stays_cpus);
+            tracing::debug!(%id, cpus, "moving its replicas");
+            moved += cpus;
+            *after += (cpus / all / MOVED_PER_S).max(report_s / 100.0);
+            in_use.retain(|m| m.id != id);
+            self.leader.drain.insert(id.clone());
+            self.leader.moving.insert(id);
+        }
+    }
+
+    /// What machines are wanted for: tasks without room, and room for services to
+    /// come, of which `lacking_cpus` are not there.
+    fn wants(&self, lacking_cpus: f64) -> Vec<Want> {
+        let mut wants = self.leader.wants.clone();
+        let live = self.mirror.jobs.values().filter(|job| job.live());
+        let service = live.filter_map(|job| job.record.spec.as_ref()).find(|s| s.shape == Shape::Service);
+        wants.extend(service.and_then(|spec| rent::spare_want(lacking_cpus, spec)));
+        wants
+    }
+
+    /// Asks the cloud for machines.
+    fn rent(&mut self, orders: BTreeMap<Offer, u32>, now: Secs) {
+        for ((kind, zone, spot), mut count) in orders {
+            while count > 0 {
+                self.renting.counter += 1;
+                let request = RentRequest {
+                    request: format!("fw-{}-{}", self.inc, self.renting.counter),
+                    kind: kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: count.min(MOST_RENTED),
+                };
+                count -= request.count;
+                if self.cloud.try_send(cloud::Ask::Rent(request.clone())).is_err() {
+                    break;
+                }
+                tracing::info!(?request, "renting");
+                let open = OpenRental { request: request.clone(), retry_at: now, pending: true };
+                self.renting.open.insert(request.request, open);
+            }
+        }
+    }
+
+    /// What every machine that was in use shows of itself. One that was in use
+    /// before this epoch and hasn't been heard in it is silent too: it may have
+    /// died while nobody led.
+    fn signs(&self, now: Secs) -> HashMap<MachineId, MachineHealth> {
+        let report_s = self.settings.params.workers.report_s;
+        let met = self.leader.met(report_s * 4.0);
+        let used = |m: &MachineNow| m.heard || self.mirror.roster.get(&m.id).is_some_and(|(r, _)| r.up);
+        let sign = |m: MachineNow| {
+            let sign = MachineHealth {
+                zone: m.zone.clone(),
+                certain: m.certain,
+                silent_s: m.silent_s,
+                deaf_s: m.deaf_s,
+                reached: m.reached,
+                met: met.contains(&m.id),
+                heedless: m.heedless,
+                owner_unheard: m.heedless && self.leader.owner_unheard(&m.id),
+            };
+            (m.id.clone(), sign)
+        };
+        self.leader.machines_at(now).filter(used).map(sign).collect()
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -89,7 +89,8 @@
 
     /// Jobs of one task are done once that has completed.
     fn commit_completed_jobs(&mut self) {
-        let single: Vec<String> = self.completed.iter().filter(|t| t.starts_with("wk-sound")).cloned().collect();
+        let single: Vec<String> =
+            self.completed.iter().filter(|t| t.starts_with("wk-sound")).cloned().collect();
         for task in single {
             self.completed.remove(&task);
             let job = task.trim_end_matches("/0").to_string();
