Higher ranks stop borrowing low arrays; no ordinary machines for low work nobody aims for

Now arrays of the ranks between that have waited for two report intervals stop low arrays of teams beyond their guarantee that have run for 30 s; for low borrowed work of a class without any aim an ordinary machine is rented only so that it begins; the only task of a job that has just begun is stopped last.

Each guard was taken out of a copy and tests/preemption.rs failed.

--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -28,7 +28,7 @@
 use crate::rent::Want;
 use crate::settings::{Settings, Team};
 use crate::wire::{JobId, JobSpec, MachineId, Shape};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 #[derive(Debug, Clone)]
@@ -120,6 +120,7 @@
     attempts: u64,
     teams: HashMap<Arc<str>, Team>,
     start_aims: HashMap<Arc<str>, f64>,
+    classes_with_aims: HashSet<Arc<str>>,
     aims: Aims,
     report_s: Secs,
     gang_wait_s: Secs,
@@ -136,6 +137,8 @@
     pub moving: BTreeSet<MachineId>,
     /// What could not be dealt in the last round, for renting.
     pub wants: Vec<Want>,
+    /// Teams that use more than they are guaranteed.
+    borrowing: Vec<Arc<str>>,
     cursor: Option<JobId>,
 }
 
@@ -155,6 +158,7 @@
             attempts: 0,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
             start_aims: settings.start_aims(),
+            classes_with_aims: settings.classes_with_aims(),
             aims: Aims::new(settings),
             report_s: settings.params.workers.report_s,
             gang_wait_s: settings.params.workers.gang_wait_s,
@@ -165,6 +169,7 @@
             faulty: BTreeSet::new(),
             reserve: 0.0,
             wants: Vec::new(),
+            borrowing: Vec::new(),
             cursor: None,
         }
     }
--- a/src/assignment/orders.rs
+++ b/src/assignment/orders.rs
@@ -56,6 +56,7 @@
             recall,
             drain: self.drain.union(&self.faulty).cloned().collect(),
             running,
+            borrowing: self.borrowing.clone(),
         })
     }
 }
--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -4,7 +4,7 @@
 use super::urgency::urgency;
 use super::{Assignment, Dealt, Entry, Leader};
 use crate::best_fit;
-use crate::capacity::{FreeCapacity, PlacementRequest};
+use crate::capacity::{FreeCapacity, PlacementRequest, Preempts};
 use crate::clock::{self, Secs};
 use crate::fleet::Phase;
 use crate::jobs::{Job, Mirror};
@@ -26,7 +26,7 @@
     }
 
     /// Free room of every open machine, less what is dealt and not placed.
-    pub(super) fn capacity(&self) -> FreeCapacity {
+    pub(super) fn capacity(&self, day_ms: u64) -> FreeCapacity {
         let open = self.parts.values().flat_map(|p| p.machines.values());
         let open = open
             .filter(|m| m.view.open && !self.drain.contains(&m.view.id) && !self.faulty.contains(&m.view.id));
@@ -35,7 +35,11 @@
             let mut request = None;
             for d in e.dealt.values().filter(|d| d.machine.is_none()) {
                 let request = request.get_or_insert_with(|| {
-                    PlacementRequest::new(&e.spec, &self.names, Vec::new(), false, false)
+                    let preempts = match self.preempts(e, day_ms) {
+                        Preempts::AllLowerWork => Preempts::Nothing,
+                        others => others,
+                    };
+                    PlacementRequest::new(&e.spec, &self.names, Vec::new(), false, preempts)
                 });
                 if let Some(slot) = capacity.best(request, self.names.known(&d.part), None) {
                     capacity.take(slot, &request.ask);
@@ -75,12 +79,14 @@
         if self.parts.is_empty() {
             return touched;
         }
+        let (day_ms, used) = (clock::day_ms(), self.used());
+        self.borrowing = self.borrowing_teams(&used);
         let mut round = Round {
             mirror,
             now,
-            day_ms: clock::day_ms(),
-            used: self.used(),
-            capacity: self.capacity(),
+            day_ms,
+            used,
+            capacity: self.capacity(day_ms),
             wants: Vec::new(),
             gang_waits: false,
             touched,
@@ -152,20 +158,15 @@
             return;
         }
         let age_s = round.age_s(e);
-        let request = self.request(e, round.mirror);
+        let request = self.request(e, round);
         let chosen = self.choose_parts(id, &request, &free, round);
         let placed: usize = chosen.iter().map(|(_, tasks)| tasks.len()).sum();
         if placed == 0 && round.capacity.best(&request, None, None).is_none() {
             round.capacity.note_no_fit(&request);
         }
         if placed < free.len() {
-            round.wants.push(Want {
-                zones: self.zones_of(id, round.mirror),
-                ask: spec.ask(),
-                count: (free.len() - placed) as u32,
-                spec: spec.clone(),
-                age_s,
-            });
+            let want = self.want(id, (free.len() - placed) as u32, age_s, round);
+            round.wants.extend(want);
         }
         let used = round.used.entry(spec.team.clone()).or_default();
         used.cpus += placed as f64 * spec.cpus;
@@ -178,16 +179,61 @@
         }
     }
 
-    fn request(&self, e: &Entry, mirror: &Mirror) -> PlacementRequest {
+    /// Teams that use more than they are guaranteed.
+    fn borrowing_teams(&self, used: &HashMap<Arc<str>, Res>) -> Vec<Arc<str>> {
+        let borrows = |name: &Arc<str>, used: &Res| {
+            self.teams.get(name).is_none_or(|team| used.cpus > team.cpus || used.gpus > team.gpus)
+        };
+        let mut teams: Vec<Arc<str>> =
+            used.iter().filter(|(name, used)| borrows(name, used)).map(|(name, _)| name.clone()).collect();
+        teams.sort();
+        teams
+    }
+
+    /// What is stopped for the tasks of a job that have no room. Guard: without it,
+    /// guests' low arrays that run for minutes held the machines which a team's own
+    /// work then waited for.
+    fn preempts(&self, e: &Entry, day_ms: u64) -> Preempts {
+        let waited_s = day_ms.saturating_sub(e.at_ms) as f64 / 1000.0;
+        match e.spec.rank {
+            Rank::Prod => Preempts::AllLowerWork,
+            Rank::Urgent | Rank::Standard
+                if !e.spec.whole() && waited_s > self.report_s * PREEMPTS_AFTER_REPORTS =>
+            {
+                Preempts::BorrowingLowWork
+            }
+            Rank::Urgent | Rank::Standard | Rank::Low => Preempts::Nothing,
+        }
+    }
+
+    /// What to rent for `count` tasks of a job that have no room. Guard: for low work
+    /// that nobody has an aim for and that its team only borrows room for, no
+    /// ordinary machine is rented but the first, so that it begins: the cloud has
+    /// too few of them for all.
+    fn want(&self, id: &JobId, count: u32, age_s: Secs, round: &Round) -> Option<Want> {
+        let entry = self.jobs.get(id)?;
+        let spec = &entry.spec;
+        let idle_work = spec.spot
+            && spec.rank == Rank::Low
+            && !self.classes_with_aims.contains(&spec.class)
+            && self.borrowing.contains(&spec.team);
+        let is_late = stage(id, entry, false, round) == Stage::Unbegun;
+        Some(Want {
+            zones: self.zones_of(id, round.mirror),
+            ask: spec.ask(),
+            count: if idle_work && is_late { 1 } else { count },
+            spec: spec.clone(),
+            age_s,
+            spot_only: idle_work && !is_late,
+        })
+    }
+
+    fn request(&self, e: &Entry, round: &Round) -> PlacementRequest {
         let spec = &e.spec;
-        let quick = best_fit::in_a_hurry(spec, &self.start_aims, mirror.catalog.as_deref());
-        let request = PlacementRequest::new(
-            spec,
-            &self.names,
-            e.failures.avoided().to_vec(),
-            quick,
-            spec.rank == Rank::Prod,
-        );
+        let quick = best_fit::in_a_hurry(spec, &self.start_aims, round.mirror.catalog.as_deref());
+        let avoid = e.failures.avoided().to_vec();
+        let preempts = self.preempts(e, round.day_ms);
+        let request = PlacementRequest::new(spec, &self.names, avoid, quick, preempts);
         // The start of a gang with an aim needs room at once in a single zone.
         if spec.shape == Shape::Gang && self.start_aims.contains_key(&spec.class) {
             request.with_reserve()
@@ -248,6 +294,10 @@
     }
 }
 
+/// For how many report intervals a job waits for room before low arrays are stopped
+/// for it: often some comes free by itself.
+const PREEMPTS_AFTER_REPORTS: f64 = 2.0;
+
 /// Bits of an attempt that count within an epoch: no leader uses a number twice.
 const ATTEMPT_BITS: u32 = 24;
 
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -48,6 +48,8 @@
     pub free: Res,
     /// What lower work would give up for the highest rank.
     pub yielding: Res,
+    /// What borrowing low work would give up for the ranks between.
+    pub yielding_low: Res,
     /// Numbers of its images, in order.
     pub images: Arc<[u32]>,
 }
@@ -65,6 +67,7 @@
             spot: view.spot,
             free: view.free,
             yielding: view.yielding,
+            yielding_low: view.yielding_low,
             images: images.into(),
         }
     }
@@ -74,12 +77,19 @@
     /// How many tasks of a request it has room for.
     fn count(&self, request: &PlacementRequest) -> u32 {
         let mut free = self.free;
-        if request.preempts {
-            free.give(&self.yielding);
-        }
+        free.give(&self.given_up_for(request.preempts));
         free.count(&request.ask)
     }
 
+    /// What other work would give up for a request.
+    fn given_up_for(&self, preempts: Preempts) -> Res {
+        match preempts {
+            Preempts::Nothing => Res::default(),
+            Preempts::BorrowingLowWork => self.yielding_low,
+            Preempts::AllLowerWork => self.yielding,
+        }
+    }
+
     fn has_image(&self, request: &PlacementRequest) -> bool {
         request.image.is_some_and(|image| self.images.binary_search(&image).is_ok())
     }
@@ -94,6 +104,17 @@
     pub with_image: u32,
 }
 
+/// What is stopped to make room for a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Preempts {
+    /// Nothing: it waits until there is room.
+    Nothing,
+    /// Low arrays of teams that use more than they are guaranteed.
+    BorrowingLowWork,
+    /// Every array of a lower rank.
+    AllLowerWork,
+}
+
 /// A job's wishes as far as they matter to where it goes.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -106,7 +127,7 @@
     /// Its class has an aim for its start.
     pub quick: bool,
     /// Lower work makes room for it.
-    pub preempts: bool,
+    pub preempts: Preempts,
     /// It may take what is kept free for services.
     pub uses_reserve: bool,
 }
@@ -118,7 +139,7 @@
         names: &Names,
         avoid: Vec<MachineId>,
         quick: bool,
-        preempts: bool,
+        preempts: Preempts,
     ) -> PlacementRequest {
         // A name that no machine has gets a number that none has.
         let number = |n: &Arc<str>| names.known(n).unwrap_or(u32::MAX);
@@ -131,7 +152,7 @@
             avoid,
             quick,
             preempts,
-            uses_reserve: preempts,
+            uses_reserve: preempts == Preempts::AllLowerWork,
         }
     }
 
@@ -153,7 +174,7 @@
         self.kinds == other.kinds
             && self.zone == other.zone
             && (!self.spot || other.spot)
-            && (!self.preempts || other.preempts)
+            && self.preempts <= other.preempts
             && (!self.uses_reserve || other.uses_reserve)
             && other.avoid.is_empty()
             && other.ask.cpus <= self.ask.cpus
@@ -242,8 +263,8 @@
             }
             let mut free = s.free;
             let drives_out = !free.fits(&request.ask);
-            if drives_out && request.preempts {
-                free.give(&s.yielding);
+            if drives_out {
+                free.give(&s.given_up_for(request.preempts));
             }
             if !free.fits(&request.ask) {
                 continue;
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -77,6 +77,10 @@
     pub free: Res,
     /// What lower work than the highest rank's would give up for that.
     pub yielding: Res,
+    /// What borrowing low arrays would give up for other work of a higher rank;
+    /// nothing from versions that don't say.
+    #[serde(default, skip_serializing_if = "Res::is_empty")]
+    pub yielding_low: Res,
     /// Takes new tasks.
     pub open: bool,
     pub noticed: bool,
@@ -168,4 +172,7 @@
     pub drain: Vec<MachineId>,
     /// Running tasks per job, for display; told now and then.
     pub running: Option<Vec<(JobId, u32)>>,
+    /// Teams that use more than they are guaranteed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub borrowing: Vec<Arc<str>>,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -22,10 +22,10 @@
 use crate::clock::Secs;
 use crate::failure_detection::ReachedSpan;
 use crate::jobs::{Mirror, RosterRecord};
-use crate::wire::{JobId, JobSpec, MachineId, Rank, Shape, Task, START_COUNTS_S};
+use crate::wire::{JobId, MachineId, Shape, Task, START_COUNTS_S};
 use assigned_tasks::AssignedTasks;
 use machine::Machine;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 /// A worker that has not reported for so many intervals is late, and is asked:
@@ -114,6 +114,8 @@
     /// The highest assignment seen of each task: a late copy of a deal does nothing.
     seen: HashMap<Task, u64>,
     bounds: HashMap<JobId, Bounds>,
+    /// Teams that use more than they are guaranteed, as the leader last told.
+    borrowing: HashSet<Arc<str>>,
     /// How zones are reached with nobody in between.
     reached: BTreeMap<Arc<str>, ReachedSpan>,
     seq: u64,
@@ -145,6 +147,7 @@
             acked: 0,
             seen: HashMap::new(),
             bounds: HashMap::new(),
+            borrowing: HashSet::new(),
             reached: BTreeMap::new(),
             seq: 0,
             orders_seq: 0,
@@ -297,6 +300,7 @@
             return;
         }
         self.orders_seq = o.seq;
+        self.borrowing = o.borrowing.iter().cloned().collect();
         self.acked = o.ack.min(self.seq);
         self.gone.retain(|g| g.seq > o.ack);
         self.dropped.retain(|d| d.2 > o.ack);
@@ -409,11 +413,6 @@
     }
 }
 
-/// Whether a job's tasks may be stopped for one of `rank`.
-fn yields(spec: &JobSpec, rank: Rank) -> bool {
-    spec.rank > rank && spec.shape == Shape::Array
-}
-
 /// Whether a task needs no more runs, by what is committed.
 fn finished(mirror: &Mirror, task: &Task) -> bool {
     mirror
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -2,11 +2,11 @@
 //! is stopped for it.
 
 use super::machine::Machine;
-use super::{yields, Attempt, Leave, Part, Phase, Place, Stop};
+use super::{Attempt, Leave, Part, Phase, Place, Stop};
 use crate::best_fit::{self, Candidate};
 use crate::clock::{Secs, When};
 use crate::jobs::Mirror;
-use crate::wire::{JobId, JobSpec, MachineId, Rank, Res, Task, TaskState};
+use crate::wire::{JobId, JobSpec, MachineId, Rank, Res, Shape, Task, TaskState, START_COUNTS_S};
 use std::collections::{BTreeMap, HashMap};
 
 impl Part {
@@ -182,6 +182,20 @@
         }
     }
 
+    /// Whether a task may be stopped for one of `rank`. The highest rank stops any
+    /// array below it. All other work stops low arrays only, of teams that use more
+    /// than they are guaranteed, and none that has only just started: the largest
+    /// of them would else be stopped each time before its start counts for users.
+    pub(super) fn yields(&self, spec: &JobSpec, place: &Place, rank: Rank, now: Secs) -> bool {
+        if spec.shape != Shape::Array || spec.rank <= rank || place.phase == Phase::Done {
+            return false;
+        }
+        let stays = place.phase != Phase::Running || place.stop.is_some();
+        let counts = !stays && now - place.since >= START_COUNTS_S;
+        let borrows = spec.rank == Rank::Low && self.borrowing.contains(&spec.team);
+        rank == Rank::Prod || counts && borrows
+    }
+
     /// Makes room by stopping lower work, on machines that have the image if
     /// `warm`. False if there is nothing to stop, or it has taken too long.
     #[allow(clippy::too_many_arguments)]
@@ -227,9 +241,20 @@
         true
     }
 
-    /// Lower tasks on a machine whose end makes room: first those that a new
-    /// start doesn't make late, then the youngest. Also how many it makes late
-    /// all the same, and the work lost. Room that is being made already counts.
+    /// Whether a task is all that a job has here, and its start does not count for
+    /// users yet. Guard: the youngest being stopped first, a job that had waited for
+    /// minutes lost its only task each time before it had begun.
+    fn is_first_start(&self, task: &Task, place: &Place, now: Secs) -> bool {
+        let young = place.phase != Phase::Running || now - place.since < START_COUNTS_S;
+        let from = Task { job: task.job.clone(), index: 0 };
+        let to = Task { job: task.job.clone(), index: u32::MAX };
+        young && self.held.range(from..=to).nth(1).is_none()
+    }
+
+    /// Lower tasks on a machine whose end makes room: last those with which a job
+    /// begins, first those that a new start doesn't make late, then the youngest.
+    /// Also how many jobs it harms so all the same, and the work lost. Room that is
+    /// being made already counts.
     pub(super) fn victims(
         &self,
         id: &MachineId,
@@ -242,7 +267,7 @@
         let ask = spec.ask();
         let mut room = free;
         room.take(&promised);
-        let mut able: Vec<(Rank, bool, Secs, &Task, u64, Res)> = Vec::new();
+        let mut able: Vec<(Rank, bool, bool, Secs, &Task, u64, Res)> = Vec::new();
         for (t, h) in self.held.on(id) {
             let Some(p) = h.at.as_ref().filter(|p| p.phase != Phase::Done) else {
                 continue;
@@ -250,26 +275,27 @@
             let Some(s) = mirror.jobs.get(&t.job).and_then(|j| j.record.spec.as_ref()) else { continue };
             if p.stop.is_some() {
                 room.give(&s.ask());
-            } else if yields(s, spec.rank) {
+            } else if self.yields(s, p, spec.rank, when.now) {
                 let job = &mirror.jobs[&t.job].record;
                 let age = when.day_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
                 let ran = when.now - p.since;
-                able.push((s.rank, made_late(s, age, ran), p.since, t, h.attempt, s.ask()));
+                let first = self.is_first_start(t, p, when.now);
+                able.push((s.rank, first, made_late(s, age, ran), p.since, t, h.attempt, s.ask()));
             }
         }
-        able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(b.2.total_cmp(&a.2)));
-        let (mut victims, mut late, mut lost) = (Vec::new(), 0, 0.0);
-        for (_, hurt, since, t, attempt, res) in able {
+        able.sort_by(|a, b| a.1.cmp(&b.1).then(b.0.cmp(&a.0)).then(a.2.cmp(&b.2)).then(b.3.total_cmp(&a.3)));
+        let (mut victims, mut harmed, mut lost) = (Vec::new(), 0, 0.0);
+        for (_, first, made_late, since, t, attempt, res) in able {
             if room.fits(&ask) {
                 break;
             }
             room.give(&res);
-            late += u32::from(hurt);
+            harmed += u32::from(first || made_late);
             // What it has done so far is done again.
             lost += res.cpus * (when.now - since).max(1.0);
             victims.push((t.clone(), attempt));
         }
-        room.fits(&ask).then_some((victims, (late, lost)))
+        room.fits(&ask).then_some((victims, (harmed, lost)))
     }
 }
 
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -1,7 +1,7 @@
 //! What the leader is told: all that has changed since it last took a report in.
 
 use super::machine::Machine;
-use super::{yields, MachineView, Part, PartReport, Phase, Quiet, LATE_REPORTS};
+use super::{MachineView, Part, PartReport, Quiet, LATE_REPORTS};
 use crate::clock::Secs;
 use crate::failure_detection::Reached;
 use crate::jobs::Mirror;
@@ -11,12 +11,15 @@
 impl Part {
     /// One machine as the leader sees it.
     pub(super) fn view(&self, id: &MachineId, m: &Machine, mirror: &Mirror, now: Secs) -> MachineView {
-        let mut yielding = Res::default();
+        let (mut yielding, mut yielding_low) = (Res::default(), Res::default());
         for (task, h) in self.held.on(id) {
             let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
-            let there = h.at.as_ref().is_some_and(|p| p.phase != Phase::Done);
-            if let Some(s) = spec.filter(|s| there && yields(s, Rank::Prod)) {
-                yielding.give(&s.ask());
+            let (Some(spec), Some(place)) = (spec, h.at.as_ref()) else { continue };
+            if self.yields(spec, place, Rank::Prod, now) {
+                yielding.give(&spec.ask());
+            }
+            if self.yields(spec, place, Rank::Standard, now) {
+                yielding_low.give(&spec.ask());
             }
         }
         let mut images: Vec<Arc<str>> = m.images.iter().map(|i| i.0.clone()).collect();
@@ -32,6 +35,7 @@
             addr: m.addr.clone(),
             free: self.machine_free(id, m, mirror),
             yielding,
+            yielding_low,
             open: self.open(m, now),
             noticed: m.notice_until.is_some(),
             faulty: m.faulty(),
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -13,6 +13,8 @@
     pub count: u32,
     pub spec: Arc<JobSpec>,
     pub age_s: Secs,
+    /// No ordinary machine is rented for it: it waits for spot machines or for room.
+    pub spot_only: bool,
     /// Where other tasks of the job are, if they depend on each other's zones.
     pub zones: BTreeMap<Arc<str>, u32>,
 }
@@ -133,7 +135,7 @@
                 .filter(|o| {
                     best_fit::allowed(&w.spec, &o.0, &o.1, o.2)
                         && !blocked(o)
-                        && (o.2 || !waits_for_spot(w, catalog, knobs))
+                        && (o.2 || !w.spot_only && !waits_for_spot(w, catalog, knobs))
                         && zone_ok(&o.1, &in_zone)
                 })
                 .filter_map(|o| {
@@ -294,5 +296,6 @@
         count: (lacking_cpus / spec.cpus).ceil() as u32,
         spec: Arc::new(spec),
         age_s: 0.0,
+        spot_only: false,
     })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,7 @@
 
 use crate::clock;
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -330,6 +330,11 @@
         aims.filter_map(|o| Some((o.class.as_str().into(), o.within_s?))).collect()
     }
 
+    /// The classes that have an aim of any kind.
+    pub fn classes_with_aims(&self) -> HashSet<Arc<str>> {
+        self.params.objectives.iter().map(|o| o.class.as_str().into()).collect()
+    }
+
     /// A team by name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.params.teams.iter().find(|t| t.name == name)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -184,6 +184,10 @@
     pub fn fits(&self, ask: &Res) -> bool {
         ask.cpus <= self.cpus + SLACK && ask.gpus <= self.gpus + SLACK && ask.mem <= self.mem + SLACK
     }
+    /// Whether there is nothing of anything.
+    pub fn is_empty(&self) -> bool {
+        *self == Res::default()
+    }
     /// Takes `ask` away.
     pub fn take(&mut self, ask: &Res) {
         self.cpus -= ask.cpus;
--- a/tests/common/cores.rs
+++ b/tests/common/cores.rs
@@ -120,6 +120,7 @@
         recall: Vec::new(),
         drain: Vec::new(),
         running: None,
+        borrowing: Vec::new(),
     }
 }
 
--- a/tests/concurrent_faults.rs
+++ b/tests/concurrent_faults.rs
@@ -283,7 +283,7 @@
     let all = [("w".into(), 5)].into_iter().collect();
     let rented = |spec: &Arc<JobSpec>, there: &[(&str, u32)], count: u32| -> Vec<String> {
         let zones = there.iter().map(|(z, n)| ((*z).into(), *n)).collect();
-        let want = Want { ask: spec.ask(), count, spec: spec.clone(), age_s: 99.0, zones };
+        let want = Want { ask: spec.ask(), count, spec: spec.clone(), age_s: 99.0, spot_only: false, zones };
         let offers = rent(&[want], &[], &all, catalog, &RentSettings::default(), &|_| false);
         offers.keys().map(|o| o.1.to_string()).collect()
     };
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -289,6 +289,7 @@
             recall: Vec::new(),
             drain: Vec::new(),
             running: None,
+            borrowing: Vec::new(),
         };
         s.part.orders(&o, &s.mirror, 20.0);
         let whole = s.part.snapshot(&s.mirror, 20.0);
--- a/tests/placement_model.rs
+++ b/tests/placement_model.rs
@@ -1,7 +1,7 @@
 //! The placement against a slow plain reading of the paper's algorithm.
 
 use finchwood::best_fit::{pick, Candidate};
-use finchwood::capacity::{FreeCapacity, Names, PlacementRequest, Slot};
+use finchwood::capacity::{FreeCapacity, Names, PlacementRequest, Preempts, Slot};
 use finchwood::fleet::MachineView;
 use finchwood::wire::{JobSpec, Rank, Res, Shape};
 use proptest::prelude::*;
@@ -136,6 +136,7 @@
         addr: None,
         free: Res { cpus: f64::from(n.free[0]) / 2.0, gpus: f64::from(n.free[1]), mem: f64::from(n.free[2]) },
         yielding: Res::default(),
+        yielding_low: Res::default(),
         open: true,
         noticed: false,
         faulty: false,
@@ -176,7 +177,7 @@
         let mut capacity = FreeCapacity::new(slots, 0.0);
         for (ask, (spot, kind, zone, quick)) in jobs {
             let spec = spec(ask, spot, kind, zone);
-            let request = PlacementRequest::new(&spec, &names, Vec::new(), quick, false);
+            let request = PlacementRequest::new(&spec, &names, Vec::new(), quick, Preempts::Nothing);
             let expected = model(ask, spot, kind, zone, quick, &nodes);
             if capacity.known_not_to_fit(&request) {
                 prop_assert_eq!(None, expected);
@@ -216,7 +217,7 @@
         let slots = nodes.map(|n| Slot::new(&view(&n), 0, &mut names)).collect();
         let mut capacity = FreeCapacity::new(slots, 0.0);
         let spec = spec([cpus, gpus, mem], spot, kind, None);
-        let request = PlacementRequest::new(&spec, &names, Vec::new(), true, false);
+        let request = PlacementRequest::new(&spec, &names, Vec::new(), true, Preempts::Nothing);
         let counts = capacity.count_by_zone(&request);
         for zone in ZONES.iter().filter_map(|z| names.known(z)) {
             let counted = counts.get(&zone).copied().unwrap_or_default();
@@ -252,7 +253,7 @@
     let slots = nodes.iter().map(|n| Slot::new(&view(n), 0, &mut names)).collect();
     let mut capacity = FreeCapacity::new(slots, 4.0);
     let array = spec([2, 0, 1], true, None, None);
-    let request = PlacementRequest::new(&array, &names, Vec::new(), false, false);
+    let request = PlacementRequest::new(&array, &names, Vec::new(), false, Preempts::Nothing);
     let mut taken = Vec::new();
     while let Some(slot) = capacity.best(&request, None, None) {
         capacity.take(slot, &request.ask);
@@ -260,6 +261,6 @@
     }
     // All four on the spot machine, then four of eight on ordinary ones.
     assert_eq!(taken, [true, true, true, true, false, false, false, false]);
-    let service = PlacementRequest::new(&array, &names, Vec::new(), false, true);
+    let service = PlacementRequest::new(&array, &names, Vec::new(), false, Preempts::AllLowerWork);
     assert!(capacity.best(&service, None, None).is_some());
 }
--- /dev/null
+++ b/tests/preemption.rs
@@ -0,0 +1,200 @@
+//! Which work is stopped for other work, and which machines are rented for work that
+//! may wait. The real leader and part, driven by hand.
+
+#[path = "common/cores.rs"]
+mod cores;
+
+use cores::*;
+use finchwood::assignment::Leader;
+use finchwood::clock::{day_ms, When};
+use finchwood::fleet::Part;
+use finchwood::jobs::{Epoch, JobRecord, Mirror};
+use finchwood::wire::{Call, JobSpec, TaskState};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Tasks fill a machine each, and run until they are stopped.
+struct Fleet {
+    mirror: Mirror,
+    leader: Leader,
+    part: Part,
+    tokens: Vec<u64>,
+    seq: u64,
+    now: f64,
+    running: Vec<BTreeMap<String, u64>>,
+    /// Job and time of each stop.
+    stopped: Vec<(String, f64)>,
+}
+
+/// An array of `rank` whose tasks fill a machine each.
+fn array(id: &str, tasks: u32, rank: &str) -> Arc<JobSpec> {
+    spec(id, tasks, |v| {
+        v["rank"] = rank.into();
+        v["cpus"] = 4.0.into();
+    })
+}
+
+impl Fleet {
+    /// Machines of a deployment in which the only team is guaranteed so many CPUs.
+    fn new(machines: usize, guaranteed_cpus: f64, aims: &str) -> Fleet {
+        let mirror = mirror(machines, &[]);
+        let mut part = part(&mirror);
+        let tokens = (1..=machines).map(|machine| met(&mut part, &mirror, machine, 0.2)).collect();
+        let team = format!("cpus = {guaranteed_cpus:.1}\ncpus_max = 400.0");
+        let objectives = format!("{aims}[params.workers]");
+        let changes = [("cpus_max = 400.0", team.as_str()), ("[params.workers]", objectives.as_str())];
+        let mut leader = Leader::new(&settings(&changes).expect("settings"));
+        let members = [("a".to_string(), 7)].into_iter().collect();
+        leader.enter(&Epoch { n: EPOCH, members, leader: "a".into() }, 7, &mirror);
+        leader.part_report(part.snapshot(&mirror, 0.3), &mirror, 0.3);
+        leader.resolve(&mirror, &|_| false);
+        let running = vec![BTreeMap::new(); machines];
+        Fleet { mirror, leader, part, tokens, seq: 10, now: 1.0, running, stopped: Vec::new() }
+    }
+
+    /// A job that was accepted so many seconds ago by the time of day, in this epoch.
+    fn submit(&mut self, spec: &Arc<JobSpec>, seconds_ago: i64) {
+        let record = JobRecord {
+            tasks: spec.tasks,
+            spec: Some(spec.clone()),
+            epoch: EPOCH,
+            at_ms: day_ms().saturating_add_signed(-seconds_ago * 1000),
+            cancelled: false,
+            done: false,
+            cancelled_at_ms: None,
+        };
+        let version = 100 + self.mirror.jobs.len() as u64;
+        self.mirror.put(&format!("fw/j/{}", spec.id), json!(record), version);
+        self.leader.job_changed(&spec.id, &self.mirror);
+    }
+
+    fn step(&mut self) {
+        self.now += 0.5;
+        self.leader.part_report(self.part.snapshot(&self.mirror, self.now), &self.mirror, self.now);
+        self.leader.deal(&self.mirror, self.now, || true);
+        let orders = self.leader.orders("a").expect("orders");
+        self.part.orders(&orders, &self.mirror, self.now);
+        self.part.place(&self.mirror, When { now: self.now, day_ms: day_ms() }, || true);
+        for machine in 0..self.running.len() {
+            self.report(machine);
+        }
+    }
+
+    fn report(&mut self, machine: usize) {
+        self.seq += 1;
+        let running = &self.running[machine];
+        let lines: Vec<Line> = running
+            .iter()
+            .map(|(task, attempt)| (task.as_str(), *attempt, TaskState::Running, None))
+            .collect();
+        let report = report(machine + 1, 1, self.seq, self.tokens[machine], &lines);
+        let (token, calls) = answered(self.part.report(&report, false, &self.mirror, self.now));
+        self.tokens[machine] = token;
+        for call in calls {
+            match call {
+                Call::Start { task, attempt } => drop(self.running[machine].insert(task, attempt)),
+                Call::Stop { task, .. } => {
+                    self.running[machine].remove(&task);
+                    self.stopped.push((task, self.now));
+                }
+                Call::Forget { .. } => {}
+            }
+        }
+    }
+
+    fn run_for(&mut self, seconds: f64) {
+        (0..(seconds * 2.0) as usize).for_each(|_| self.step());
+    }
+
+    fn tasks_of(&self, job: &str) -> usize {
+        self.running.iter().flat_map(BTreeMap::keys).filter(|task| task.starts_with(job)).count()
+    }
+}
+
+#[test]
+fn work_of_a_higher_rank_stops_low_arrays_that_borrow() {
+    let mut fleet = Fleet::new(4, 0.0, "");
+    fleet.submit(&array("wk-low", 8, "low"), 0);
+    fleet.run_for(40.0);
+    assert_eq!(fleet.tasks_of("wk-low"), 4, "they fill all machines");
+    fleet.submit(&array("wk-standard", 2, "standard"), 60);
+    fleet.run_for(5.0);
+    assert_eq!((fleet.tasks_of("wk-standard"), fleet.tasks_of("wk-low")), (2, 2), "{:?}", fleet.stopped);
+}
+
+#[test]
+fn low_arrays_within_their_teams_guarantee_are_not_stopped() {
+    let mut fleet = Fleet::new(4, 400.0, "");
+    fleet.submit(&array("wk-low", 8, "low"), 0);
+    fleet.run_for(40.0);
+    fleet.submit(&array("wk-standard", 2, "standard"), 60);
+    fleet.run_for(20.0);
+    assert_eq!((fleet.tasks_of("wk-standard"), fleet.tasks_of("wk-low")), (0, 4));
+}
+
+#[test]
+fn a_start_that_does_not_count_yet_is_not_stopped_for_the_ranks_between() {
+    let mut fleet = Fleet::new(4, 0.0, "");
+    fleet.submit(&array("wk-low", 8, "low"), 0);
+    fleet.run_for(3.0);
+    fleet.submit(&array("wk-standard", 2, "standard"), 60);
+    fleet.run_for(20.0);
+    assert_eq!(fleet.tasks_of("wk-standard"), 0, "it waits for the starts to count");
+    fleet.run_for(20.0);
+    assert_eq!(fleet.tasks_of("wk-standard"), 2);
+    assert!(fleet.stopped.iter().all(|stop| stop.1 > 30.0), "{:?}", fleet.stopped);
+}
+
+#[test]
+fn a_job_that_has_only_just_come_stops_nothing() {
+    let mut fleet = Fleet::new(4, 0.0, "");
+    fleet.submit(&array("wk-low", 8, "low"), 0);
+    fleet.run_for(40.0);
+    // Ahead of the time of day: the test doesn't depend on how long it takes.
+    fleet.submit(&array("wk-standard", 2, "standard"), -3600);
+    fleet.run_for(20.0);
+    assert_eq!(fleet.stopped, []);
+}
+
+#[test]
+fn a_service_stops_the_only_task_of_a_job_last() {
+    let mut fleet = Fleet::new(3, 0.0, "");
+    fleet.submit(&array("wk-many", 2, "low"), 0);
+    fleet.run_for(10.0);
+    fleet.submit(&array("wk-single", 1, "low"), 0);
+    fleet.run_for(3.0);
+    assert_eq!((fleet.tasks_of("wk-many"), fleet.tasks_of("wk-single")), (2, 1));
+    let service = spec("wk-service", 1, |v| {
+        v["rank"] = "prod".into();
+        v["shape"] = "standing".into();
+        v["cpus"] = 4.0.into();
+    });
+    fleet.submit(&service, 0);
+    fleet.run_for(5.0);
+    assert_eq!(fleet.tasks_of("wk-service"), 1);
+    assert_eq!(fleet.tasks_of("wk-single"), 1, "though it is the youngest: {:?}", fleet.stopped);
+}
+
+const AIM: &str =
+    "[[params.objectives]]\nkind = \"finished\"\nclass = \"f\"\nwithin_s = 100.0\nshare = 0.9\n";
+
+/// What is wanted for a low array of ten that has waited so long, beside another
+/// that fills the machines: the number of tasks, and whether spot machines only.
+fn wanted(guaranteed_cpus: f64, aims: &str, seconds_ago: i64) -> (u32, bool) {
+    let mut fleet = Fleet::new(2, guaranteed_cpus, aims);
+    fleet.submit(&array("wk-first", 2, "low"), 0);
+    fleet.run_for(3.0);
+    fleet.submit(&array("wk-low", 10, "low"), seconds_ago);
+    fleet.run_for(1.0);
+    let want = fleet.leader.wants.iter().find(|w| &*w.spec.id == "wk-low").expect("it has no room");
+    (want.count, want.spot_only)
+}
+
+#[test]
+fn ordinary_machines_are_rented_for_low_borrowed_work_only_to_begin_it_or_for_an_aim() {
+    assert_eq!(wanted(0.0, "", 20), (10, true));
+    assert_eq!(wanted(0.0, "", 100), (1, false), "one machine, so that it begins");
+    assert_eq!(wanted(0.0, AIM, 20), (10, false), "its class has an aim");
+    assert_eq!(wanted(400.0, "", 20), (10, false), "it is within its team's guarantee");
+}
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -112,6 +112,7 @@
         recall: Vec::new(),
         drain: Vec::new(),
         running: None,
+        borrowing: Vec::new(),
     };
     p.orders(&o, mirror, 0.3);
 }
@@ -127,6 +128,7 @@
         recall: vec![(task, attempt)],
         drain: Vec::new(),
         running: None,
+        borrowing: Vec::new(),
     };
     p.orders(&o, mirror, 0.6);
 }
@@ -286,7 +288,14 @@
     s.shape = Shape::Service;
     s.spot = false;
     s.scatter = true;
-    let want = Want { zones: BTreeMap::new(), ask: s.ask(), count: 4, spec: Arc::new(s), age_s: 0.0 };
+    let want = Want {
+        zones: BTreeMap::new(),
+        ask: s.ask(),
+        count: 4,
+        spec: Arc::new(s),
+        age_s: 0.0,
+        spot_only: false,
+    };
     let zones = BTreeMap::new();
     let orders = rent::rent(std::slice::from_ref(&want), &[], &zones, &catalog, &knobs, &|_| false);
     let per_zone: Vec<u32> = orders.values().copied().collect();
@@ -305,7 +314,7 @@
     let no_spot = |o: &rent::Offer| o.2;
     let count = |rank, age_s| {
         let s = spec("wk-1", 4, rank);
-        let want = Want { zones: BTreeMap::new(), ask: s.ask(), count: 2, spec: s, age_s };
+        let want = Want { zones: BTreeMap::new(), ask: s.ask(), count: 2, spec: s, age_s, spot_only: false };
         rent::rent(&[want], &[], &BTreeMap::new(), &catalog, &knobs, &no_spot).values().sum::<u32>()
     };
     assert_eq!((count(Rank::Low, 1.0), count(Rank::Low, 60.0), count(Rank::Standard, 1.0)), (0, 1, 1));
@@ -415,6 +424,7 @@
         recall: vec![(finchwood::wire::Task { job: "wk-1".into(), index: 0 }, 50)],
         drain: Vec::new(),
         running: None,
+        borrowing: Vec::new(),
     };
     p.report(&report(1, 4, t, &[("wk-1/0", 50, TaskState::Running, None)]), false, &m, 31.0);
     p.orders(&orders, &m, 31.0);
@@ -533,6 +543,7 @@
             recall: Vec::new(),
             drain: Vec::new(),
             running: None,
+            borrowing: Vec::new(),
         };
         p.orders(&o, &m, now);
         p.snapshot(&m, now).machines.remove(0)
