--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -1,11 +1,11 @@
 //! Commits of finished tasks: only once they are committed may anybody call a job
 //! done, or a worker forget a result.
 
-use super::inflight::{InFlight, Serial};
 use super::{Controller, Tag};
 use crate::assignment::Finish;
 use crate::clock::Secs;
 use crate::finished::{chunks_covering, tasks_per_chunk};
+use crate::in_flight::{InFlight, Serial};
 use crate::jobs::{job_key, Job, JobRecord};
 use crate::settings::StateLimits;
 use crate::state::{Class, Op, Outcome, Write, BULK_SHARE};
@@ -31,14 +31,14 @@
         // must not wait behind the progress of others.
         let limits = self.settings.params.state.clone();
         let most = (limits.write_rps * BULK_SHARE / 2.0).max(2.0) as usize;
-        let room = most.saturating_sub(self.finishes.len());
+        let room = most.saturating_sub(self.finishes.count());
         for finish in self.leader.finishes(now, room, &self.mirror) {
             let Some(job) = self.mirror.jobs.get(&finish.job).filter(|job| job.live()) else {
                 self.leader.finish_answered(&finish.job, now, now);
                 continue;
             };
             let Transaction { conditions, ops } = finish_transaction(&finish, job, &limits);
-            let serial = self.finishes.next();
+            let serial = self.finishes.next_serial();
             let tag = Tag::Finish(finish.job.clone(), serial);
             let write = Write { conditions, ops: ops.clone(), deadline: now + COMMIT_S, tag };
             if self.writer.send(Class::Bulk, write).is_err() {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -4,7 +4,6 @@
 
 mod cloud_answers;
 mod commits;
-mod inflight;
 mod leading;
 mod renting;
 mod roster;
@@ -15,6 +14,7 @@
 use crate::cloud;
 use crate::fleet::{DirectRoom, Part, ReportReply, Timing};
 use crate::http::{self, Ask, DirectDone, DirectPool, Relay, Reply};
+use crate::in_flight::Serial;
 use crate::jobs::{Change, Epoch, Member, Mirror, EPOCH_KEY};
 use crate::membership::{self, LeaseNews};
 use crate::peer::{CalledOff, Envelope, Message, Peers};
@@ -25,7 +25,6 @@
 use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
 use commits::FinishesInFlight;
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
-use inflight::Serial;
 use leading::LeaderPace;
 use renting::Renting;
 use roster::Roster;
--- a/src/controller/roster.rs
+++ b/src/controller/roster.rs
@@ -2,9 +2,9 @@
 //! what is known with few writes. A page has one write under way at a time;
 //! what happens meanwhile goes into its next.
 
-use super::inflight::{InFlight, Serial};
 use super::{Controller, Tag};
 use crate::clock::{self, Secs};
+use crate::in_flight::{InFlight, Serial};
 use crate::jobs::{page_key, RosterPage, RosterRecord};
 use crate::pages::{self, PageCopies, PageLimit, PageQueue};
 use crate::rent::Offer;
@@ -139,7 +139,7 @@
         let most = (self.settings.params.state.lowest_txn_ops() / 2).max(2);
         let known = |key: &Arc<str>| self.mirror.pages.get(key).map(|p| p.page.machines.len());
         for (key, page) in self.roster.queue.in_turn(pages, known, now) {
-            if self.roster.writing.len() >= most {
+            if self.roster.writing.count() >= most {
                 return;
             }
             if self.roster.writing.has(&key) || self.roster.tried.contains_key(&key) {
@@ -158,7 +158,7 @@
                 },
                 None => Op::Delete { key: key.to_string() },
             };
-            let serial = self.roster.writing.next();
+            let serial = self.roster.writing.next_serial();
             let mut conditions = vec![(key.to_string(), version)];
             conditions.extend(copies.get(&key).into_iter().flatten().cloned());
             let write = Write { conditions, ops: vec![op], deadline: now + 2.0, tag: Tag::Roster(serial) };
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,8 +3,9 @@
 
 use crate::clock::{self, Secs};
 use crate::fleet::Direct;
+use crate::http_request::Request;
 use crate::peer::Envelope;
-use crate::server::{self, Limits, Request};
+use crate::server::{self, Limits};
 pub use crate::server::{error_body, Reply};
 use crate::settings::Settings;
 use crate::state::spawn;
--- a/src/controller/inflight.rs
+++ b/src/in_flight.rs
@@ -6,11 +6,11 @@
 use std::collections::HashMap;
 
 /// A write's number.
-pub(crate) type Serial = u64;
+pub type Serial = u64;
 
 /// Writes under way, by number.
 #[derive(Debug)]
-pub(crate) struct InFlight<K, V> {
+pub struct InFlight<K, V> {
     last: Serial,
     all: HashMap<Serial, (K, V)>,
 }
@@ -23,7 +23,7 @@
 
 impl<K: PartialEq, V> InFlight<K, V> {
     /// The number of the next write.
-    pub fn next(&mut self) -> Serial {
+    pub fn next_serial(&mut self) -> Serial {
         self.last += 1;
         self.last
     }
@@ -36,7 +36,7 @@
         self.all.remove(&serial)
     }
     /// How many are under way.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.all.len()
     }
     /// Whether one of this key is.
@@ -44,21 +44,3 @@
         self.all.values().any(|v| v.0 == *key)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_answer_meets_the_value_that_was_written() {
-        let mut w: InFlight<&str, &str> = InFlight::default();
-        let (first, second) = (w.next(), w.next());
-        w.sent(first, "wk-1", "half of it");
-        w.sent(second, "wk-1", "done");
-        assert_eq!(w.answered(first), Some(("wk-1", "half of it")));
-        assert!(w.has(&"wk-1"), "the second has not been answered");
-        assert_eq!(w.answered(first), None);
-        assert_eq!(w.answered(second), Some(("wk-1", "done")));
-        assert_eq!((w.len(), w.has(&"wk-1")), (0, false));
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod capacity;
 pub mod failure_detection;
 pub mod http;
+pub mod http_request;
+pub mod in_flight;
 pub mod jobs;
 pub mod membership;
 pub mod pages;
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,6 +3,7 @@
 //! takes no answer, holds up nobody but itself and not for long.
 
 use crate::clock::{self, Secs};
+use crate::http_request::{read_request, Progress, Request, HEAD_LIMIT};
 use crate::state::spawn;
 use crossbeam::channel::{bounded, Receiver, Sender};
 use mio::net::{TcpListener, TcpStream};
@@ -13,8 +14,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The largest head of a request.
-const HEAD_LIMIT: usize = 16 * 1024;
 /// A request that isn't complete, or an answer that isn't taken, after this
 /// long is given up: as long as users wait for one.
 const PATIENCE_S: Secs = 5.0;
@@ -24,15 +23,6 @@
 const LISTENER: Token = Token(usize::MAX);
 const WAKER: Token = Token(usize::MAX - 1);
 
-/// A request as it came.
-#[derive(Debug)]
-pub struct Request {
-    pub method: String,
-    /// Without what follows a question mark.
-    pub path: String,
-    pub body: Vec<u8>,
-}
-
 /// An answer on its way to its connection.
 struct Answer {
     at: usize,
@@ -148,13 +138,6 @@
     tell: F,
 }
 
-/// How far a request has come in.
-enum Parsed {
-    More,
-    Bad(u16),
-    Whole { request: Request, used: usize, last: bool },
-}
-
 impl<F: Fn(Request, Reply)> Server<F> {
     fn run(&mut self, inbox: &Receiver<Answer>) {
         let mut events = Events::with_capacity(256);
@@ -300,16 +283,16 @@
         if c.busy || !c.output.is_empty() || c.input.is_empty() {
             return;
         }
-        match parse(&c.input, self.limits.body) {
-            Parsed::More => {}
-            Parsed::Bad(status) => {
+        match read_request(&c.input, self.limits.body) {
+            Progress::Incomplete => {}
+            Progress::Malformed(status) => {
                 c.busy = true;
                 c.last = true;
                 let serial = c.serial;
                 let body = error_body("the request can't be read or is too large");
                 self.answer(Answer { at, serial, status, body, retry_s: None, until: None }, now);
             }
-            Parsed::Whole { request, used, last } => {
+            Progress::Complete { request, used, last } => {
                 c.busy = true;
                 c.last = last;
                 c.since = now;
@@ -389,89 +372,3 @@
         _ => "Other",
     }
 }
-
-fn parse(input: &[u8], limit: usize) -> Parsed {
-    let mut headers = [httparse::EMPTY_HEADER; 48];
-    let mut r = httparse::Request::new(&mut headers);
-    let head = match r.parse(input) {
-        Ok(httparse::Status::Complete(n)) => n,
-        Ok(httparse::Status::Partial) if input.len() > HEAD_LIMIT => return Parsed::Bad(400),
-        Ok(httparse::Status::Partial) => return Parsed::More,
-        Err(_) => return Parsed::Bad(400),
-    };
-    let header = |name: &str| {
-        let found = r.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(found.value).ok().map(str::trim)
-    };
-    let says = |name: &str, word: &str| header(name).is_some_and(|v| v.eq_ignore_ascii_case(word));
-    let last = says("Connection", "close") || r.version == Some(0) && !says("Connection", "keep-alive");
-    let (body, used) = if says("Transfer-Encoding", "chunked") {
-        match chunked(&input[head..], limit) {
-            Ok(Some((body, n))) => (body, head + n),
-            Ok(None) => return Parsed::More,
-            Err(status) => return Parsed::Bad(status),
-        }
-    } else {
-        let length = match header("Content-Length").map(str::parse::<usize>) {
-            None => 0,
-            Some(Ok(n)) if n > limit => return Parsed::Bad(400),
-            Some(Ok(n)) => n,
-            Some(Err(_)) => return Parsed::Bad(400),
-        };
-        if input.len() < head + length {
-            return Parsed::More;
-        }
-        (input[head..head + length].to_vec(), head + length)
-    };
-    let path = r.path.unwrap_or_default().split('?').next().unwrap_or_default().to_string();
-    let method = r.method.unwrap_or_default().to_string();
-    Parsed::Whole { request: Request { method, path, body }, used, last }
-}
-
-/// A body in chunks and how many bytes it took; none while it isn't whole.
-fn chunked(input: &[u8], limit: usize) -> Result<Option<(Vec<u8>, usize)>, u16> {
-    let (mut body, mut at) = (Vec::new(), 0);
-    loop {
-        let (start, size) = match httparse::parse_chunk_size(&input[at..]) {
-            Ok(httparse::Status::Complete(c)) => c,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(400),
-        };
-        if size > (limit - body.len()) as u64 {
-            return Err(400);
-        }
-        let (from, size) = (at + start, size as usize);
-        if input.len() < from + size + 2 {
-            return Ok(None);
-        }
-        body.extend_from_slice(&input[from..from + size]);
-        at = from + size + 2;
-        if size == 0 {
-            return Ok(Some((body, at)));
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn requests_are_read_as_they_come_in() {
-        let text = b"POST /a?b=c HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyzGET";
-        for n in 0..text.len() - 3 {
-            assert!(matches!(parse(&text[..n], 10), Parsed::More), "{n} bytes are not a request");
-        }
-        let Parsed::Whole { request, used, last } = parse(text, 10) else { panic!("not whole") };
-        assert_eq!(
-            (request.path.as_str(), request.body.as_slice(), used, last),
-            ("/a", &b"xyz"[..], 46, false)
-        );
-        assert!(matches!(parse(text, 2), Parsed::Bad(400)), "a body over the limit");
-        assert!(matches!(parse(b"\0\0\0\r\n\r\n", 9), Parsed::Bad(400)));
-        let chunks = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
-        let Parsed::Whole { request, used, .. } = parse(chunks, 10) else { panic!("not whole") };
-        assert_eq!((request.body.as_slice(), used), (&b"abc"[..], chunks.len()));
-        assert!(matches!(parse(chunks, 2), Parsed::Bad(400)));
-    }
-}
--- /dev/null
+++ b/src/state/writer.rs
@@ -0,0 +1,168 @@
+//! The group commit: conditional writes gathered into transactions.
+
+use super::{spawn, Budget, Class, Op, Outcome, Store};
+use crate::clock::{self, Secs};
+use crate::settings::Settings;
+use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
+use std::time::Duration;
+
+/// A conditional write that wants to go out, with others or alone.
+#[derive(Debug)]
+pub struct Write<T> {
+    pub conditions: Vec<(String, u64)>,
+    pub ops: Vec<Op>,
+    /// After this it is not sent any more.
+    pub deadline: Secs,
+    pub tag: T,
+}
+
+/// Sends writes to the group commit.
+pub struct Writer<T> {
+    urgent: Sender<Write<T>>,
+    bulk: Sender<Write<T>>,
+}
+
+/// Threads that commit, for each class.
+const LANES: usize = 2;
+
+/// How long a batch may take to be allowed by the rate: users wait for the end
+/// of a job, and for a submission, behind it.
+const BATCH_S: Secs = 0.5;
+
+impl<T: Send + 'static> Writer<T> {
+    /// Starts the threads that gather waiting writes into transactions.
+    pub fn start<F>(settings: &Settings, budget: Budget, tell: F) -> Writer<T>
+    where
+        F: Fn(T, Outcome) -> bool + Send + Clone + 'static,
+    {
+        let bound = (settings.params.state.write_rps * 8.0) as usize + 64;
+        let start = |class: Class| {
+            let (queue, inbox) = bounded::<Write<T>>(bound);
+            for lane in 0..LANES {
+                let store = Store::new(settings);
+                let (inbox, budget, tell) = (inbox.clone(), budget.clone(), tell.clone());
+                // A batch waits for as many writes as it holds.
+                let rate = settings.params.state.write_rps * class.share();
+                let most =
+                    settings.params.state.lowest_txn_ops().min((rate * BATCH_S).ceil() as usize).max(1);
+                spawn(&format!("state-{class:?}-{lane}"), move || {
+                    let mut left: Option<Write<T>> = None;
+                    loop {
+                        let first = match left.take() {
+                            Some(w) => w,
+                            None => match inbox.recv() {
+                                Ok(w) => w,
+                                Err(_) => return,
+                            },
+                        };
+                        let mut batch = vec![first];
+                        left = gather(&inbox, &mut batch, most);
+                        commit_batch(&store, &budget, class, batch, &tell);
+                    }
+                });
+            }
+            queue
+        };
+        Writer { urgent: start(Class::Urgent), bulk: start(Class::Bulk) }
+    }
+
+    /// Queues a write, or hands it back if the queue is full.
+    pub fn send(&self, class: Class, write: Write<T>) -> Result<(), Write<T>> {
+        let queue = match class {
+            Class::Urgent => &self.urgent,
+            Class::Bulk => &self.bulk,
+        };
+        match queue.try_send(write) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(w) | TrySendError::Disconnected(w)) => Err(w),
+        }
+    }
+}
+
+fn bytes(ops: &[Op]) -> usize {
+    serde_json::to_vec(ops).map_or(0, |v| v.len())
+}
+
+/// Takes more waiting writes as long as one transaction can hold them.
+/// Returns the first that did not fit.
+fn gather<T>(inbox: &Receiver<Write<T>>, batch: &mut Vec<Write<T>>, most: usize) -> Option<Write<T>> {
+    let mut ops: usize = batch[0].ops.len();
+    let mut conditions = batch[0].conditions.len();
+    let mut size = bytes(&batch[0].ops);
+    while let Ok(next) = inbox.try_recv() {
+        let clash = batch.iter().any(|w| w.conditions.iter().any(|c| next.conditions.contains(c)));
+        let next_size = bytes(&next.ops);
+        if clash
+            || ops + next.ops.len() > most
+            || conditions + next.conditions.len() > most * 4
+            || size + next_size > 48 * 1024
+        {
+            return Some(next);
+        }
+        ops += next.ops.len();
+        conditions += next.conditions.len();
+        size += next_size;
+        batch.push(next);
+    }
+    None
+}
+
+fn commit_batch<T>(
+    store: &Store,
+    budget: &Budget,
+    class: Class,
+    mut batch: Vec<Write<T>>,
+    tell: &impl Fn(T, Outcome) -> bool,
+) {
+    loop {
+        let now = clock::now();
+        let (late, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(|w| w.deadline < now);
+        for w in late {
+            tell(w.tag, Outcome::Refused);
+        }
+        batch = rest;
+        if batch.is_empty() {
+            return;
+        }
+        budget.wait_call();
+        budget.wait_writes(class, batch.iter().map(|w| w.ops.len()).sum());
+        let conditions: Vec<_> = batch.iter().flat_map(|w| w.conditions.clone()).collect();
+        let ops: Vec<_> = batch.iter().flat_map(|w| w.ops.clone()).collect();
+        match store.commit(&conditions, &ops) {
+            Outcome::Conflict(keys) => {
+                let (failed, rest): (Vec<_>, Vec<_>) =
+                    batch.into_iter().partition(|w| w.conditions.iter().any(|(k, _)| keys.contains(k)));
+                let stuck = failed.is_empty();
+                for w in failed {
+                    tell(w.tag, Outcome::Conflict(keys.clone()));
+                }
+                batch = rest;
+                if stuck {
+                    for w in batch {
+                        tell(w.tag, Outcome::Conflict(keys.clone()));
+                    }
+                    return;
+                }
+            }
+            // Guard: one write that the service doesn't take must not be given up
+            // together with those that only shared its transaction, again and again.
+            Outcome::Invalid if batch.len() > 1 => {
+                for write in batch {
+                    commit_batch(store, budget, class, vec![write], tell);
+                }
+                return;
+            }
+            // Certainly not executed: again within the writes' deadlines.
+            Outcome::TooMuch => {
+                budget.too_much(class);
+                std::thread::sleep(Duration::from_secs_f64(rand::random::<f64>() * 0.1));
+            }
+            outcome => {
+                for w in batch {
+                    tell(w.tag, outcome.clone());
+                }
+                return;
+            }
+        }
+    }
+}
