--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,8 +2,10 @@
 //! node's part of the fleet and, while it leads, the leader's table. Everything
 //! else speaks to it by messages, and it never waits for the network.
 
-mod inflight;
+mod cloud_answers;
+mod commits;
 mod leading;
+mod renting;
 mod roster;
 mod users;
 
@@ -12,6 +14,7 @@
 use crate::cloud;
 use crate::fleet::{DirectRoom, Part, ReportReply, Timing};
 use crate::http::{self, Ask, DirectDone, DirectPool, Relay, Reply};
+use crate::in_flight::Serial;
 use crate::jobs::{Change, Epoch, Member, Mirror, EPOCH_KEY};
 use crate::membership::{self, LeaseNews};
 use crate::peer::{CalledOff, Envelope, Message, Peers};
@@ -20,9 +23,10 @@
 use crate::settings::Settings;
 use crate::state::{self, Budget, Class, Feed, Op, Outcome, Write, Writer};
 use crate::wire::{JobId, MachineId, Redirect, Report, ReportAnswer};
+use commits::FinishesInFlight;
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
-use inflight::Serial;
-use leading::Renting;
+use leading::LeaderPace;
+use renting::Renting;
 use roster::Roster;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -83,6 +87,8 @@
     leader: Leader,
     users: Users,
     renting: Renting,
+    pace: LeaderPace,
+    finishes: FinishesInFlight,
     roster: Roster,
     /// Workers of other parts that came here.
     redirected: HashMap<MachineId, Passing>,
@@ -186,6 +192,8 @@
             lease_until: 0.0,
             users: Users::default(),
             renting: Renting::default(),
+            pace: LeaderPace::default(),
+            finishes: FinishesInFlight::default(),
             roster: Roster::default(),
             redirected: HashMap::new(),
             called_off: Vec::new(),
