--- /dev/null
+++ b/src/controller/worker_reports.rs
@@ -0,0 +1,107 @@
+//! Workers' reports: answered here by the machine's owner, passed on to the owner, or
+//! sent on to another controller.
+
+use super::{Controller, RELAY_REPORTS};
+use crate::clock::Secs;
+use crate::fleet::ReportReply;
+use crate::http::{Relay, Reply};
+use crate::membership;
+use crate::wire::{Redirect, Report, ReportAnswer};
+
+/// What is known here of a worker that belongs to another part.
+pub(super) struct PassingWorker {
+    /// When it was last here.
+    pub(super) at: Secs,
+    /// When it last tried its owner, as far as is known.
+    tried: Option<Secs>,
+    /// Session and sequence of its newest report.
+    newest: (u64, u64),
+    /// When a report newer than one before it came: a lone one may be a copy
+    /// from long ago, and shows nothing.
+    pub(super) met: Option<Secs>,
+}
+
+impl PassingWorker {
+    /// What is known after one more report, on `before`.
+    fn after(
+        before: Option<&PassingWorker>,
+        report: &Report,
+        tried: Option<Secs>,
+        now: Secs,
+    ) -> PassingWorker {
+        let newest = (report.session, report.seq);
+        let met = match before {
+            Some(known) if newest > known.newest => Some(now),
+            Some(known) => known.met,
+            None => None,
+        };
+        let newest = before.map_or(newest, |known| known.newest.max(newest));
+        PassingWorker { at: now, tried: tried.or(Some(now)), newest, met }
+    }
+}
+
+impl Controller {
+    /// Answers a worker's report, of which `raw` is the body as it came.
+    pub(super) fn report(&mut self, report: Report, raw: Vec<u8>, relayed: bool, reply: Reply, now: Secs) {
+        self.part.note_contact(&report.machine);
+        let Some(epoch) = self.my_epoch() else {
+            return reply.later(503, 1, "not a member now");
+        };
+        // Fenced: neither an answer nor a place to go would be to be trusted.
+        if now >= self.entitled_until() {
+            return reply.later(503, 1, "fenced");
+        }
+        let owner = membership::owner(&epoch.members, &report.machine).map(String::from);
+        match owner {
+            Some(owner) if owner == self.settings.node_name => {
+                self.answer_own_worker(&report, relayed, reply, now);
+            }
+            _ if relayed => reply.later(503, 1, "not the owner"),
+            Some(owner) => self.pass_on(report, raw, owner, reply, now),
+            None => reply.later(503, 1, "no owner"),
+        }
+    }
+
+    fn answer_own_worker(&mut self, report: &Report, relayed: bool, reply: Reply, now: Secs) {
+        match self.part.report(report, relayed, &self.mirror, now) {
+            ReportReply::Commands { token, commands } => {
+                let body = ReportAnswer { token, commands };
+                let until = self.entitled_until();
+                reply.send_until(200, serde_json::to_vec(&body).unwrap_or_default(), until);
+            }
+            ReportReply::Refuse => reply.later(503, 1, "an old report"),
+        }
+    }
+
+    /// A worker of another part: sent to its owner, or, if it can't reach the owner,
+    /// its report is relayed.
+    fn pass_on(&mut self, report: Report, raw: Vec<u8>, owner: String, reply: Reply, now: Secs) {
+        let lease_s = self.settings.params.workers.lease_s;
+        let known = self.redirected.get(&report.machine);
+        // One that was sent to its owner a moment ago and is here again can't
+        // reach it.
+        let tried = known.and_then(|worker| worker.tried).filter(|at| now - at < lease_s * 2.0);
+        let first = known.is_none_or(|worker| worker.tried.is_none());
+        // One that obeyed this epoch's token already has been told by its owner,
+        // and would be there if it could.
+        let obeyed = self.my_epoch().is_some_and(|e| membership::token_epoch(report.token) == e.n);
+        let cut = self.ways.cut(&report.zone, &owner, now);
+        let relay = cut || tried.is_some() || obeyed && first;
+        // While its zone is known to be apart from its owner's it need not try,
+        // and goes on to one that reaches both.
+        let around = if cut { self.ways.around(&owner, now).map(String::from) } else { None };
+        let passing = PassingWorker::after(known, &report, tried, now);
+        self.redirected.insert(report.machine, passing);
+        match self.relays.get(&owner) {
+            Some(way) if relay && around.is_none() => {
+                let until = now + self.settings.params.workers.report_s * RELAY_REPORTS;
+                // A full queue drops the reply, which then says 503.
+                let _ = way.try_send(Relay { raw, reply, until });
+            }
+            _ => {
+                let body = Redirect { report_to: around.or(Some(owner)) };
+                reply.send(421, serde_json::to_vec(&body).unwrap_or_default());
+            }
+        }
+    }
+}
