Names: assigned tasks, assignments and their acknowledgement in steps; wire names stay

What is decided and what goes over the wire stay the same: the field of orders keeps its name by a serde rename, which tests/versions.rs shows.

--- a/src/assignment/choice.rs
+++ b/src/assignment/choice.rs
@@ -1,6 +1,6 @@
 //! Which parts the free tasks of one job go to, by its shape and its zones.
 
-use super::{Assignment, Entry, Leader, ZoneRoom};
+use super::{Assignment, JobEntry, Leader, ZoneRoom};
 use crate::capacity::{FreeCapacity, Names, PlacementRequest};
 use crate::clock::Secs;
 use crate::jobs::Mirror;
@@ -10,7 +10,7 @@
 
 impl Leader {
     /// Jobs whose tasks depend on each other. The leader counts the zones, so
-    /// nothing is dealt while any task's zone isn't known, and what is dealt
+    /// nothing is assigned while any task's zone isn't known, and what is assigned
     /// goes whole to one part with what each zone may still take.
     pub(super) fn assign_bound_to_zones(
         &mut self,
@@ -47,11 +47,11 @@
         // zone has room for: then several parts share it.
         if spec.one_zone && chosen.len() < free.len() {
             let spread = capacity.try_place(request, free.len(), None, &room, true);
-            if spread.len() > chosen.len() && (spread.len() == free.len() || !e.dealt.is_empty()) {
+            if spread.len() > chosen.len() && (spread.len() == free.len() || !e.assigned.is_empty()) {
                 return self.assign_over_parts(id, request, &spread, free, capacity);
             }
         }
-        if spec.one_zone && chosen.len() < free.len() && e.dealt.is_empty() {
+        if spec.one_zone && chosen.len() < free.len() && e.assigned.is_empty() {
             return Vec::new();
         }
         for &slot in &chosen {
@@ -72,9 +72,14 @@
 
     /// How many more tasks of a job each zone may take, by where the others are;
     /// none while that isn't known of all.
-    pub(super) fn zone_room(&self, e: &Entry, capacity: &FreeCapacity, mirror: &Mirror) -> Option<ZoneRoom> {
+    pub(super) fn zone_room(
+        &self,
+        e: &JobEntry,
+        capacity: &FreeCapacity,
+        mirror: &Mirror,
+    ) -> Option<ZoneRoom> {
         let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-        for d in e.dealt.values() {
+        for d in e.assigned.values() {
             let (record, _) = mirror.roster.get(d.machine.as_ref()?)?;
             *counts.entry(self.names.known(&record.zone)?).or_default() += 1;
         }
@@ -88,9 +93,9 @@
     /// rest of them.
     pub(super) fn zones_of(&self, id: &JobId, mirror: &Mirror) -> BTreeMap<Arc<str>, u32> {
         let mut zones = BTreeMap::new();
-        let bound = |e: &&Entry| (e.spec.one_zone || e.spec.scatter) && !e.leaving;
+        let bound = |e: &&JobEntry| (e.spec.one_zone || e.spec.scatter) && !e.leaving;
         let Some(e) = self.jobs.get(id).filter(bound) else { return zones };
-        for d in e.dealt.values() {
+        for d in e.assigned.values() {
             let record = d.machine.as_ref().and_then(|m| mirror.roster.get(m));
             if let Some((r, _)) = record {
                 *zones.entry(r.zone.clone()).or_default() += 1;
@@ -101,7 +106,7 @@
 
     /// A service whose zone has had no room for the rest of it for as long as
     /// several boots take moves as a whole, if another zone has room for it:
-    /// its tasks are stopped, and dealt anew once all are proven gone.
+    /// its tasks are stopped, and assigned anew once all are proven gone.
     pub(super) fn leave_zone(
         &mut self,
         id: &JobId,
@@ -112,13 +117,13 @@
     ) {
         let patience = BEGIN_WITHIN_S / 6.0;
         let Some(e) = self.jobs.get_mut(id) else { return };
-        if !stuck || e.dealt.is_empty() {
+        if !stuck || e.assigned.is_empty() {
             e.stuck_since = None;
             e.leaving = false;
             return;
         }
         let since = *e.stuck_since.get_or_insert(now);
-        let known = e.unknown.is_empty() && e.dealt.values().all(|d| d.machine.is_some());
+        let known = e.unknown.is_empty() && e.assigned.values().all(|d| d.machine.is_some());
         if e.leaving || !known || now - since < patience {
             return;
         }
--- a/src/assignment/failures.rs
+++ b/src/assignment/failures.rs
@@ -4,7 +4,7 @@
 //! machine fails the tasks of every job. A failure alone does not tell which it
 //! was: the other failures of the same job, and its successes, do.
 
-use super::{Entry, Leader};
+use super::{JobEntry, Leader};
 use crate::clock::Secs;
 use crate::jobs::Mirror;
 use crate::wire::{JobId, MachineId, Shape, BEGIN_WITHIN_S};
@@ -82,7 +82,7 @@
     }
 }
 
-impl Entry {
+impl JobEntry {
     /// How many of `free` tasks may be started. A suspected job is tried with one
     /// task: all of them would take the same room again and again.
     pub(super) fn tries_allowed(&self, free: usize) -> usize {
@@ -90,7 +90,7 @@
             return free;
         }
         let replicas_run = self.spec.shape == Shape::Service && self.has_running_task();
-        match (replicas_run, self.dealt.is_empty()) {
+        match (replicas_run, self.assigned.is_empty()) {
             (true, _) => free,
             (false, true) => free.min(1),
             (false, false) => 0,
--- a/src/assignment/finishes.rs
+++ b/src/assignment/finishes.rs
@@ -41,7 +41,7 @@
             }
             let pressing = !leaving.is_empty()
                 && e.finishing.iter().any(|i| {
-                    e.dealt.get(&i).and_then(|d| d.machine.as_ref()).is_some_and(|m| leaving.contains(m))
+                    e.assigned.get(&i).and_then(|d| d.machine.as_ref()).is_some_and(|m| leaving.contains(m))
                 });
             if pressing || now >= e.commit_after {
                 some.push((!pressing, e.commit_after, id.clone()));
--- a/src/assignment/gang.rs
+++ b/src/assignment/gang.rs
@@ -6,7 +6,7 @@
 //! one task ends the attempt: all others are stopped, and the next attempt
 //! begins when every task of this one is proven to be nowhere.
 
-use super::{Assignment, Entry, Leader, ZoneRoom};
+use super::{Assignment, JobEntry, Leader, ZoneRoom};
 use crate::capacity::{FreeCapacity, PlacementRequest, ZoneCount};
 use crate::clock::Secs;
 use crate::fleet::Phase;
@@ -65,13 +65,13 @@
     Withdraw,
 }
 
-impl Entry {
+impl JobEntry {
     /// Whether the tasks that a gang lacks may be assigned now, of which `free`
     /// are within the team's limit.
     pub(super) fn gang_may_start(&self, free: usize) -> bool {
         // Guard: where the team's limit leaves room for some only, or some may be
         // anywhere yet, none starts.
-        let whole = self.dealt.len() + free == self.spec.tasks as usize;
+        let whole = self.assigned.len() + free == self.spec.tasks as usize;
         // A part is told how many tasks a zone may take of all that it hasn't listed.
         whole && !self.leaving && self.unlisted.is_empty()
     }
@@ -84,18 +84,18 @@
     /// Takes the attempt from what parts hold, after a change of leader.
     fn adopt_attempt(&mut self, now: Secs) {
         if self.attempt.is_none() {
-            let number = self.dealt.values().map(|d| d.attempt).max();
+            let number = self.assigned.values().map(|d| d.attempt).max();
             self.attempt = number.map(|number| Attempt { in_doubt: true, ..Attempt::begun(number, now) });
         }
     }
 
     fn next_step(&mut self, gang_wait_s: Secs, now: Secs) -> Step {
         self.adopt_attempt(now);
-        let complete = self.dealt.len() == self.spec.tasks as usize;
+        let complete = self.assigned.len() == self.spec.tasks as usize;
         let Some(attempt) = self.attempt.as_mut() else { return Step::Leave };
         let runs = |phase: Phase| matches!(phase, Phase::Running | Phase::Saving | Phase::Done);
-        attempt.started |= self.dealt.values().any(|d| runs(d.phase));
-        let mixed = self.dealt.values().any(|d| d.attempt != attempt.number);
+        attempt.started |= self.assigned.values().any(|d| runs(d.phase));
+        let mixed = self.assigned.values().any(|d| d.attempt != attempt.number);
         let waits_too_long = now - attempt.since > gang_wait_s * INCOMPLETE_SHARE;
         let over = attempt.started || attempt.in_doubt || waits_too_long;
         if attempt.broken || mixed || over && !complete {
@@ -116,7 +116,7 @@
         let gang_wait_s = self.gang_wait_s;
         let gangs = self.jobs.iter_mut().filter(|(_, e)| e.spec.shape == Shape::Gang);
         for (id, entry) in gangs {
-            if entry.dealt.is_empty() {
+            if entry.assigned.is_empty() {
                 if entry.unknown.is_empty() {
                     entry.attempt = None;
                     entry.leaving = false;
@@ -129,9 +129,9 @@
             }
             let step = entry.next_step(gang_wait_s, now);
             if step == Step::Withdraw || to_be_taken.contains(id) {
-                tracing::info!(%id, attempt = ?entry.attempt, held = entry.dealt.len(), "a gang's attempt is withdrawn");
+                tracing::info!(%id, attempt = ?entry.attempt, held = entry.assigned.len(), "a gang's attempt is withdrawn");
                 entry.leaving = true;
-                touched.extend(entry.dealt.values().map(|d| d.part.to_string()));
+                touched.extend(entry.assigned.values().map(|d| d.part.to_string()));
             }
         }
         touched
@@ -148,14 +148,15 @@
         let silent = self.report_s * REACHED_REPORTS;
         let reached: BTreeSet<&MachineId> =
             self.machines_at(now).filter(|m| m.certain && m.silent_s < silent).map(|m| &m.view.id).collect();
-        let on = |e: &Entry, machines: &BTreeSet<&MachineId>| {
-            e.dealt.values().filter(|d| d.machine.as_ref().is_some_and(|m| machines.contains(m))).count()
+        let on = |e: &JobEntry, machines: &BTreeSet<&MachineId>| {
+            e.assigned.values().filter(|d| d.machine.as_ref().is_some_and(|m| machines.contains(m))).count()
         };
-        let saves = |e: &Entry| e.spec.checkpoint_s > 0.0 || !e.attempt.as_ref().is_some_and(|a| a.started);
-        let gangs = self.jobs.iter().filter(|(_, e)| e.spec.shape == Shape::Gang && !e.dealt.is_empty());
+        let saves =
+            |e: &JobEntry| e.spec.checkpoint_s > 0.0 || !e.attempt.as_ref().is_some_and(|a| a.started);
+        let gangs = self.jobs.iter().filter(|(_, e)| e.spec.shape == Shape::Gang && !e.assigned.is_empty());
         gangs
             .filter(|(_, e)| saves(e))
-            .filter(|(_, e)| on(e, &noticed) > 0 && on(e, &reached) == e.dealt.len())
+            .filter(|(_, e)| on(e, &noticed) > 0 && on(e, &reached) == e.assigned.len())
             .map(|(id, _)| id.clone())
             .collect()
     }
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -2,8 +2,8 @@
 //! committed as finished. Pure, like [`crate::fleet`].
 //!
 //! A task is in exactly one of three conditions: free (certainly nowhere),
-//! dealt (one part answers for it), or unknown (since the epoch began nobody
-//! has proven where it is). Only free tasks are dealt.
+//! assigned (one part answers for it), or unknown (since the epoch began nobody
+//! has proven where it is). Only free tasks are assigned.
 
 mod choice;
 mod failures;
@@ -32,7 +32,7 @@
 use std::sync::Arc;
 
 #[derive(Debug, Clone)]
-struct Dealt {
+struct AssignedTask {
     part: Arc<str>,
     attempt: u64,
     /// Tells one assignment of an attempt from the next; 0 if its part doesn't say.
@@ -44,15 +44,15 @@
 }
 
 #[derive(Debug)]
-struct Entry {
+struct JobEntry {
     spec: Arc<JobSpec>,
     at_ms: u64,
     unknown: Bits,
     /// Of the unknown, those that can only be with one part, which has kept all
     /// that it knew: its word alone is proof.
     with: BTreeMap<u32, Arc<str>>,
-    dealt: BTreeMap<u32, Dealt>,
-    /// Those of the dealt that their part has not listed yet.
+    assigned: BTreeMap<u32, AssignedTask>,
+    /// Those of the assigned that their part has not listed yet.
     unlisted: BTreeSet<u32>,
     /// Seen done by a part, not yet committed.
     finishing: Bits,
@@ -71,35 +71,35 @@
     room: BTreeMap<Arc<str>, Vec<(Arc<str>, u32)>>,
 }
 
-impl Dealt {
+impl AssignedTask {
     /// The order of assignments of a task.
     fn order(&self) -> (u64, u64) {
         (self.attempt, self.assignment)
     }
 }
 
-impl Entry {
+impl JobEntry {
     /// The assignments that differ from their attempts, of tasks that a part
     /// has not listed yet.
     fn assignments(&self, node: &str) -> Vec<(u32, u64)> {
-        let unlisted = self.unlisted.iter().filter_map(|index| Some((*index, self.dealt.get(index)?)));
+        let unlisted = self.unlisted.iter().filter_map(|index| Some((*index, self.assigned.get(index)?)));
         let differ = unlisted.filter(|(_, d)| &*d.part == node && d.assignment != d.attempt);
         differ.map(|(index, d)| (index, d.assignment)).collect()
     }
     fn has_running_task(&self) -> bool {
-        self.dealt.values().any(|dealt| dealt.phase == Phase::Running)
+        self.assigned.values().any(|assigned| assigned.phase == Phase::Running)
     }
-    fn unassign(&mut self, index: u32) -> Option<Dealt> {
+    fn unassign(&mut self, index: u32) -> Option<AssignedTask> {
         self.unlisted.remove(&index);
-        self.dealt.remove(&index)
+        self.assigned.remove(&index)
     }
-    fn deal(&mut self, index: u32, dealt: Dealt) {
-        if dealt.listed {
+    fn assign(&mut self, index: u32, assigned: AssignedTask) {
+        if assigned.listed {
             self.unlisted.remove(&index);
         } else {
             self.unlisted.insert(index);
         }
-        self.dealt.insert(index, dealt);
+        self.assigned.insert(index, assigned);
     }
 }
 
@@ -109,7 +109,7 @@
     epoch: u64,
     inc: u64,
     members: BTreeMap<String, u64>,
-    jobs: BTreeMap<JobId, Entry>,
+    jobs: BTreeMap<JobId, JobEntry>,
     pub parts: BTreeMap<String, PartView>,
     names: Names,
     resolved: bool,
@@ -135,7 +135,7 @@
     pub reserve: f64,
     /// Machines whose replicas are to move to others.
     pub moving: BTreeSet<MachineId>,
-    /// What could not be dealt in the last round, for renting.
+    /// What could not be assigned in the last round, for renting.
     pub wants: Vec<Want>,
     /// Teams that use more than they are guaranteed.
     borrowing: Vec<Arc<str>>,
@@ -175,7 +175,7 @@
     }
 
     /// Enters an epoch as its leader. The table is kept if this incarnation
-    /// led the one just before; what was dealt is unknown until it is seen.
+    /// led the one just before; what was assigned is unknown until it is seen.
     pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror) {
         let stays = self.inc == inc && self.epoch + 1 == e.n;
         if !stays {
@@ -186,7 +186,7 @@
             self.faulty.clear();
         }
         // Parts that live on and hand no machine over, as nobody is new: what
-        // was dealt to them is theirs still, or nowhere. Without this, one
+        // was assigned to them is theirs still, or nowhere. Without this, one
         // controller's return left all that a cut zone had lost in doubt until
         // the last machine of the zone had been heard.
         let nobody_new = stays && e.members.keys().all(|m| self.members.contains_key(m));
@@ -200,13 +200,13 @@
         self.resolved = false;
         self.attempts = 0;
         for job in self.jobs.values_mut() {
-            let dealt = std::mem::take(&mut job.dealt);
+            let assigned = std::mem::take(&mut job.assigned);
             job.unlisted.clear();
             job.with.retain(|_, p| steady.contains(&**p));
             if let Some(attempt) = job.attempt.as_mut() {
                 attempt.doubt_task();
             }
-            for (index, d) in dealt {
+            for (index, d) in assigned {
                 job.unknown.add(index);
                 if steady.contains(&*d.part) {
                     job.with.insert(index, d.part);
@@ -224,14 +224,14 @@
     pub fn job_changed(&mut self, id: &JobId, mirror: &Mirror) {
         let Some(job) = mirror.jobs.get(id) else { return };
         let Some(spec) = job.record.spec.clone().filter(|_| !job.record.done) else {
-            if self.jobs.get(id).is_some_and(|e| e.dealt.is_empty()) {
+            if self.jobs.get(id).is_some_and(|e| e.assigned.is_empty()) {
                 self.jobs.remove(id);
             }
             return;
         };
         if !self.jobs.contains_key(id) {
             let mut unknown = Bits::default();
-            // Accepted in this epoch: nobody can have dealt it before us.
+            // Accepted in this epoch: nobody can have assigned it before us.
             if job.record.epoch < self.epoch {
                 for index in (0..spec.tasks).filter(|&i| !job.finished.has(i)) {
                     unknown.add(index);
@@ -245,12 +245,12 @@
                 self.resolved = false;
                 self.joined.clear();
             }
-            let entry = Entry {
+            let entry = JobEntry {
                 at_ms: job.record.at_ms,
                 spec,
                 unknown,
                 with: BTreeMap::new(),
-                dealt: BTreeMap::new(),
+                assigned: BTreeMap::new(),
                 unlisted: BTreeSet::new(),
                 finishing: Bits::default(),
                 committing: false,
@@ -276,7 +276,7 @@
         }
         if job.record.cancelled {
             entry.finishing = Bits::default();
-            if entry.unknown.is_empty() && entry.dealt.is_empty() {
+            if entry.unknown.is_empty() && entry.assigned.is_empty() {
                 self.jobs.remove(id);
             }
         }
@@ -290,18 +290,18 @@
             let Some(job) = mirror.jobs.get(id).filter(|j| j.record.cancelled) else { continue };
             let at_ms = job.record.cancelled_at_ms.unwrap_or(day_ms);
             if day_ms.saturating_sub(at_ms) as f64 / 1000.0 > after_s {
-                let there = e.dealt.values().filter(|d| d.phase != Phase::Done);
+                let there = e.assigned.values().filter(|d| d.phase != Phase::Done);
                 out.extend(there.filter_map(|d| d.machine.clone()));
             }
         }
         out
     }
 
-    /// Counts for the log: jobs, dealt, unknown.
+    /// Counts for the log: jobs, assigned, unknown.
     pub fn counts(&self) -> (usize, usize, u32) {
-        let dealt = self.jobs.values().map(|e| e.dealt.len()).sum();
+        let assigned = self.jobs.values().map(|e| e.assigned.len()).sum();
         let unknown = self.jobs.values().map(|e| e.unknown.len()).sum();
-        (self.jobs.len(), dealt, unknown)
+        (self.jobs.len(), assigned, unknown)
     }
 
     /// CPUs that replicas of services take now.
@@ -309,7 +309,7 @@
         self.jobs
             .values()
             .filter(|e| e.spec.shape == Shape::Service)
-            .map(|e| e.spec.cpus * e.dealt.len() as f64)
+            .map(|e| e.spec.cpus * e.assigned.len() as f64)
             .sum()
     }
 }
--- a/src/assignment/orders.rs
+++ b/src/assignment/orders.rs
@@ -1,7 +1,7 @@
 //! What the leader tells each part, again and again until the part shows it.
 
-use super::{Dealt, Entry, Leader};
-use crate::fleet::{Deal, Orders, Phase};
+use super::{AssignedTask, JobEntry, Leader};
+use crate::fleet::{JobAssignment, Orders, Phase};
 use crate::wire::{Shape, Task};
 
 impl Leader {
@@ -10,13 +10,13 @@
         let view = self.parts.get_mut(node)?;
         view.orders_seq += 1;
         let (seq, ack) = (view.orders_seq, view.seq);
-        let mut deals = Vec::new();
+        let mut assignments = Vec::new();
         for (id, e) in self.jobs.iter().filter(|(_, e)| !e.unlisted.is_empty()) {
-            let dealt = e.unlisted.iter().filter_map(|i| Some((*i, e.dealt.get(i)?)));
+            let assigned = e.unlisted.iter().filter_map(|i| Some((*i, e.assigned.get(i)?)));
             let tasks: Vec<(u32, u64)> =
-                dealt.filter(|(_, d)| &*d.part == node).map(|(i, d)| (i, d.attempt)).collect();
+                assigned.filter(|(_, d)| &*d.part == node).map(|(i, d)| (i, d.attempt)).collect();
             if !tasks.is_empty() {
-                deals.push(Deal {
+                assignments.push(JobAssignment {
                     job: id.clone(),
                     tasks,
                     zone_room: e.room.get(node).cloned().filter(|_| e.spec.one_zone || e.spec.scatter),
@@ -27,20 +27,21 @@
         }
         // Counts for display need not be of this moment.
         let running = (seq % 8 == 1).then(|| {
-            let running = |e: &Entry| {
-                e.dealt.values().filter(|d| matches!(d.phase, Phase::Running | Phase::Saving)).count() as u32
+            let running = |e: &JobEntry| {
+                e.assigned.values().filter(|d| matches!(d.phase, Phase::Running | Phase::Saving)).count()
+                    as u32
             };
             self.jobs.iter().map(|(id, e)| (id.clone(), running(e))).filter(|(_, n)| *n > 0).collect()
         });
         let mut recall = Vec::new();
         for (id, e) in self.jobs.iter().filter(|(_, e)| e.leaving) {
-            let theirs = e.dealt.iter().filter(|(_, d)| &*d.part == node);
+            let theirs = e.assigned.iter().filter(|(_, d)| &*d.part == node);
             recall.extend(theirs.map(|(i, d)| (Task { job: id.clone(), index: *i }, d.attempt)));
         }
         if !self.moving.is_empty() {
             for (id, e) in self.jobs.iter().filter(|(_, e)| e.spec.shape == Shape::Service) {
-                let there = |d: &Dealt| d.machine.as_ref().is_some_and(|m| self.moving.contains(m));
-                let on = e.dealt.iter().filter(|(_, d)| &*d.part == node && d.phase == Phase::Running);
+                let there = |d: &AssignedTask| d.machine.as_ref().is_some_and(|m| self.moving.contains(m));
+                let on = e.assigned.iter().filter(|(_, d)| &*d.part == node && d.phase == Phase::Running);
                 recall.extend(
                     on.filter(|(_, d)| there(d))
                         .map(|(i, d)| (Task { job: id.clone(), index: *i }, d.attempt)),
@@ -52,7 +53,7 @@
             node: node.into(),
             seq,
             ack,
-            deals,
+            assignments,
             recall,
             drain: self.drain.union(&self.faulty).cloned().collect(),
             running,
--- a/src/assignment/reports.rs
+++ b/src/assignment/reports.rs
@@ -1,7 +1,7 @@
 //! Parts' reports, and what they prove about where tasks are.
 
 use super::finishes::wanted;
-use super::{Dealt, Leader, MachineNews, PartView};
+use super::{AssignedTask, Leader, MachineNews, PartView};
 use crate::best_fit;
 use crate::capacity::Slot;
 use crate::clock::Secs;
@@ -110,7 +110,7 @@
             entry.failures.note_success();
         }
         entry.unknown.remove(index);
-        let dealt = Dealt {
+        let assigned = AssignedTask {
             part: part.clone(),
             attempt: held.attempt,
             assignment: held.assignment,
@@ -118,11 +118,11 @@
             phase: held.phase,
             machine: held.machine,
         };
-        match entry.dealt.get(&index) {
+        match entry.assigned.get(&index) {
             // Two parts list it (a machine changed hands): the newer word
             // of the later attempt stands, until one of them is gone.
-            Some(old) if old.part != dealt.part && old.order() > dealt.order() => {}
-            _ => entry.deal(index, dealt),
+            Some(old) if old.part != assigned.part && old.order() > assigned.order() => {}
+            _ => entry.assign(index, assigned),
         }
     }
 
@@ -132,9 +132,9 @@
         let Some(entry) = self.jobs.get_mut(&gone.task.job) else { return };
         // Guard: a part says again and again that a task is gone, also after
         // it was assigned there anew under the same attempt.
-        let same = |d: &Dealt| gone.assignment == 0 || d.assignment == gone.assignment;
-        let dealt = entry.dealt.get(&gone.task.index);
-        if !dealt.is_some_and(|d| d.part == *part && d.attempt == gone.attempt && same(d)) {
+        let same = |d: &AssignedTask| gone.assignment == 0 || d.assignment == gone.assignment;
+        let assigned = entry.assigned.get(&gone.task.index);
+        if !assigned.is_some_and(|d| d.part == *part && d.attempt == gone.attempt && same(d)) {
             return;
         }
         entry.unassign(gone.task.index);
@@ -167,7 +167,7 @@
     fn no_longer_listed(&self, part: &Arc<str>, listed: &Listed) -> Vec<Task> {
         let mut missing = Vec::new();
         for (id, entry) in &self.jobs {
-            let theirs = entry.dealt.iter().filter(|(_, d)| d.part == *part && d.listed);
+            let theirs = entry.assigned.iter().filter(|(_, d)| d.part == *part && d.listed);
             let lost = theirs.filter(|(index, _)| !listed.contains(&(id.clone(), **index)));
             missing.extend(lost.map(|(index, _)| Task { job: id.clone(), index: *index }));
         }
@@ -176,8 +176,8 @@
 
     /// Whether a part is known to list a task under this attempt.
     fn lists(&self, part: &Arc<str>, task: &Task, attempt: u64) -> bool {
-        let dealt = self.jobs.get(&task.job).and_then(|e| e.dealt.get(&task.index));
-        dealt.is_some_and(|d| d.part == *part && d.listed && d.attempt == attempt)
+        let assigned = self.jobs.get(&task.job).and_then(|e| e.assigned.get(&task.index));
+        assigned.is_some_and(|d| d.part == *part && d.listed && d.attempt == attempt)
     }
 
     /// A task is somewhere we don't know, unless it needs no more runs.
@@ -197,7 +197,7 @@
 
     fn forget_what_is_over(&mut self, mirror: &Mirror) {
         self.jobs.retain(|id, e| {
-            !e.dealt.is_empty() || !e.unknown.is_empty() || mirror.jobs.get(id).is_some_and(|j| j.live())
+            !e.assigned.is_empty() || !e.unknown.is_empty() || mirror.jobs.get(id).is_some_and(|j| j.live())
         });
     }
 
--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -2,7 +2,7 @@
 
 use super::choice::{assign_array, assign_whole};
 use super::urgency::urgency;
-use super::{Assignment, Dealt, Entry, Leader};
+use super::{AssignedTask, Assignment, JobEntry, Leader};
 use crate::best_fit;
 use crate::capacity::{FreeCapacity, PlacementRequest, Preempts};
 use crate::clock::{self, Secs};
@@ -17,7 +17,7 @@
     pub(super) fn used(&self) -> HashMap<Arc<str>, Res> {
         let mut used: HashMap<Arc<str>, Res> = HashMap::new();
         for e in self.jobs.values() {
-            let n = f64::from(e.dealt.len() as u32 + e.unknown.len());
+            let n = f64::from(e.assigned.len() as u32 + e.unknown.len());
             let u = used.entry(e.spec.team.clone()).or_default();
             u.cpus += n * e.spec.cpus;
             u.gpus += n * e.spec.gpus;
@@ -25,7 +25,7 @@
         used
     }
 
-    /// Free room of every open machine, less what is dealt and not placed.
+    /// Free room of every open machine, less what is assigned and not placed.
     pub(super) fn capacity(&self, day_ms: u64) -> FreeCapacity {
         let open = self.parts.values().flat_map(|p| p.machines.values());
         let open = open
@@ -33,7 +33,7 @@
         let mut capacity = FreeCapacity::new(open.map(|m| m.slot.clone()).collect(), self.reserve);
         for e in self.jobs.values() {
             let mut request = None;
-            for d in e.dealt.values().filter(|d| d.machine.is_none()) {
+            for d in e.assigned.values().filter(|d| d.machine.is_none()) {
                 let request = request.get_or_insert_with(|| {
                     let preempts = match self.preempts(e, day_ms) {
                         Preempts::AllLowerWork => Preempts::Nothing,
@@ -52,7 +52,7 @@
     /// Jobs that fit their team's guarantee together with the team's earlier
     /// unfinished jobs: they need not wait for what others borrow.
     pub(super) fn guaranteed(&self, mirror: &Mirror) -> HashSet<JobId> {
-        let mut by_age: Vec<(u64, &JobId, &Entry)> =
+        let mut by_age: Vec<(u64, &JobId, &JobEntry)> =
             self.jobs.iter().map(|(id, e)| (e.at_ms, id, e)).collect();
         by_age.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
         let mut used: HashMap<&str, Res> = HashMap::new();
@@ -74,7 +74,12 @@
     /// One round of assignment: as many free tasks as fit, in order of rank and
     /// age, until `more` says that the time is over; the next round goes on
     /// from there. Returns the parts that have new orders.
-    pub fn deal(&mut self, mirror: &Mirror, now: Secs, mut more: impl FnMut() -> bool) -> BTreeSet<String> {
+    pub fn assign_tasks(
+        &mut self,
+        mirror: &Mirror,
+        now: Secs,
+        mut more: impl FnMut() -> bool,
+    ) -> BTreeSet<String> {
         let touched = self.watch_gangs(mirror, now);
         if self.parts.is_empty() {
             return touched;
@@ -110,8 +115,8 @@
     fn jobs_in_order(&mut self, round: &Round) -> Vec<JobId> {
         let guaranteed = self.guaranteed(round.mirror);
         let live = |id: &JobId| round.mirror.jobs.get(id).is_some_and(|j| j.live());
-        let may_have_free = |e: &Entry| {
-            !e.failures.waits(round.now) && (e.dealt.len() as u32 + e.unknown.len()) < e.spec.tasks
+        let may_have_free = |e: &JobEntry| {
+            !e.failures.waits(round.now) && (e.assigned.len() as u32 + e.unknown.len()) < e.spec.tasks
         };
         let waiting = self.jobs.iter().filter(|(id, e)| live(id) && may_have_free(e));
         let mut order: Vec<(Stage, Rank, u8, i64, JobId)> = waiting
@@ -131,7 +136,7 @@
     }
 
     /// The free tasks of a job, as many as its team's limit allows.
-    fn free_tasks(&self, e: &Entry, job: &Job, used: &Res) -> Vec<u32> {
+    fn free_tasks(&self, e: &JobEntry, job: &Job, used: &Res) -> Vec<u32> {
         let team = self.teams.get(&e.spec.team);
         let left = Res {
             cpus: team.map_or(0.0, |t| t.cpu_cap()) - used.cpus,
@@ -141,7 +146,7 @@
         let quota = left.count(&Res { mem: 0.0, ..e.spec.ask() }) as usize;
         let most = e.tries_allowed(quota);
         let free = |i: &u32| {
-            !job.finished.has(*i) && !e.finishing.has(*i) && !e.unknown.has(*i) && !e.dealt.contains_key(i)
+            !job.finished.has(*i) && !e.finishing.has(*i) && !e.unknown.has(*i) && !e.assigned.contains_key(i)
         };
         (0..e.spec.tasks).filter(free).take(most).collect()
     }
@@ -193,7 +198,7 @@
     /// What is stopped for the tasks of a job that have no room. Guard: without it,
     /// guests' low arrays that run for minutes held the machines which a team's own
     /// work then waited for.
-    fn preempts(&self, e: &Entry, day_ms: u64) -> Preempts {
+    fn preempts(&self, e: &JobEntry, day_ms: u64) -> Preempts {
         let waited_s = day_ms.saturating_sub(e.at_ms) as f64 / 1000.0;
         match e.spec.rank {
             Rank::Prod => Preempts::AllLowerWork,
@@ -228,7 +233,7 @@
         })
     }
 
-    fn request(&self, e: &Entry, round: &Round) -> PlacementRequest {
+    fn request(&self, e: &JobEntry, round: &Round) -> PlacementRequest {
         let spec = &e.spec;
         let quick = best_fit::in_a_hurry(spec, &self.start_aims, round.mirror.catalog.as_deref());
         let avoid = e.failures.avoided().to_vec();
@@ -282,7 +287,7 @@
             Shape::Gang => e.gang_attempt(assignment, now),
             Shape::Array | Shape::Service => assignment,
         };
-        let dealt = Dealt {
+        let assigned = AssignedTask {
             part: part.clone(),
             attempt,
             assignment,
@@ -290,7 +295,7 @@
             phase: Phase::Queued,
             machine: None,
         };
-        e.deal(index, dealt);
+        e.assign(index, assigned);
     }
 }
 
@@ -317,7 +322,7 @@
 }
 
 impl Round<'_> {
-    fn age_s(&self, e: &Entry) -> Secs {
+    fn age_s(&self, e: &JobEntry) -> Secs {
         self.day_ms.saturating_sub(e.at_ms) as f64 / 1000.0
     }
 }
@@ -333,8 +338,8 @@
     Borrowed,
 }
 
-fn stage(id: &JobId, e: &Entry, guaranteed: bool, round: &Round) -> Stage {
-    let begun = !e.dealt.is_empty()
+fn stage(id: &JobId, e: &JobEntry, guaranteed: bool, round: &Round) -> Stage {
+    let begun = !e.assigned.is_empty()
         || !e.unknown.is_empty()
         || round.mirror.jobs.get(id).is_some_and(|j| !j.finished.is_empty());
     match e.spec.rank {
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -20,7 +20,7 @@
         let deleted = &self.renting.deleted;
         self.leader.resolve(&self.mirror, &|id| deleted.contains_key(id));
         self.leader.run_gangs(self.mirror.all_run_gangs());
-        let touched = self.leader.deal(&self.mirror, now, || clock::now() < end);
+        let touched = self.leader.assign_tasks(&self.mirror, now, || clock::now() < end);
         for part in touched {
             self.send_orders(&part);
         }
@@ -44,11 +44,18 @@
             return;
         }
         self.pace.logged_state = now;
-        let (jobs, dealt, unknown) = self.leader.counts();
+        let (jobs, assigned, unknown) = self.leader.counts();
         let mut waiting: BTreeMap<Rank, u32> = BTreeMap::new();
         for want in &self.leader.wants {
             *waiting.entry(want.spec.rank).or_default() += want.count;
         }
-        tracing::info!(jobs, dealt, unknown, ?waiting, draining = self.leader.drain.len(), "state");
+        tracing::info!(
+            jobs,
+            dealt = assigned,
+            unknown,
+            ?waiting,
+            draining = self.leader.drain.len(),
+            "state"
+        );
     }
 }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -134,9 +134,9 @@
     pub met: Vec<(MachineId, f64)>,
 }
 
-/// Tasks of one job dealt to a part.
+/// Tasks of one job that are assigned to a part.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Deal {
+pub struct JobAssignment {
     pub job: JobId,
     /// Number and attempt.
     pub tasks: Vec<(u32, u64)>,
@@ -150,7 +150,7 @@
     pub assignments: Vec<(u32, u64)>,
 }
 
-impl Deal {
+impl JobAssignment {
     /// The assignment of a task: its attempt, if nothing else is said.
     pub(super) fn assignment(&self, index: u32, attempt: u64) -> u64 {
         self.assignments.iter().find(|(i, _)| *i == index).map_or(attempt, |(_, assignment)| *assignment)
@@ -165,7 +165,8 @@
     pub seq: u64,
     /// The newest report of the part that the leader has taken in.
     pub ack: u64,
-    pub deals: Vec<Deal>,
+    #[serde(rename = "deals")]
+    pub assignments: Vec<JobAssignment>,
     /// Tasks to give back.
     pub recall: Vec<(Task, u64)>,
     /// Machines that take no more tasks.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 mod snapshot;
 
 pub use commands::{Direct, DirectRoom, ReportReply};
-pub use messages::{Deal, Gone, HeldView, Leave, MachineView, Orders, PartReport, Phase, Quiet};
+pub use messages::{Gone, HeldView, JobAssignment, Leave, MachineView, Orders, PartReport, Phase, Quiet};
 
 use crate::clock::Secs;
 use crate::failure_detection::ReachedSpan;
@@ -111,7 +111,7 @@
     told: HashMap<MachineId, (MachineView, u64)>,
     /// The newest report that the leader has taken in.
     acked: u64,
-    /// The highest assignment seen of each task: a late copy of a deal does nothing.
+    /// The highest assignment seen of each task: a late copy does nothing.
     seen: HashMap<Task, u64>,
     bounds: HashMap<JobId, Bounds>,
     /// Teams that use more than they are guaranteed, as the leader last told.
@@ -258,70 +258,80 @@
     }
 
     /// Takes in the leader's orders.
-    pub fn orders(&mut self, o: &Orders, mirror: &Mirror, now: Secs) {
-        if o.epoch != self.epoch || o.node != self.node {
+    pub fn orders(&mut self, orders: &Orders, mirror: &Mirror, now: Secs) {
+        if orders.epoch != self.epoch || orders.node != self.node {
             return;
         }
-        for deal in &o.deals {
-            let live = mirror.jobs.get(&deal.job).is_some_and(|j| j.live());
-            let mut fresh = false;
-            for &(index, attempt) in &deal.tasks {
-                let task = Task { job: deal.job.clone(), index };
-                let assignment = deal.assignment(index, attempt);
-                let seen = self.seen.entry(task.clone()).or_insert(0);
-                if assignment <= *seen {
-                    continue;
-                }
-                if !mirror.jobs.contains_key(&deal.job) {
-                    // The mirror is behind the leader's: the deal comes again.
-                    continue;
-                }
-                *seen = assignment;
-                fresh = true;
-                if let Some(old) = self.held.get(&task) {
-                    tracing::warn!(%task, old = old.attempt, attempt, "dealt a task that is held already");
-                    continue;
-                }
-                let avoid = deal.avoid.clone();
-                let held = Held { attempt, assignment, at: None, since: now, avoid, told: None };
-                self.held.insert(task.clone(), held);
-                if !live {
-                    self.leave(&task, Leave::Stopped);
-                }
-            }
-            if fresh {
-                if let Some(room) = &deal.zone_room {
-                    self.bounds.insert(deal.job.clone(), Bounds { room: room.iter().cloned().collect() });
-                }
-            }
+        for assignment in &orders.assignments {
+            self.take_assignment(assignment, mirror, now);
         }
-        self.dirty |= !o.deals.is_empty();
-        if o.seq <= self.orders_seq {
+        self.dirty |= !orders.assignments.is_empty();
+        if orders.seq <= self.orders_seq {
             return;
         }
-        self.orders_seq = o.seq;
-        self.borrowing = o.borrowing.iter().cloned().collect();
-        self.acked = o.ack.min(self.seq);
-        self.gone.retain(|g| g.seq > o.ack);
-        self.dropped.retain(|d| d.2 > o.ack);
-        self.unlisted.retain(|u| u.1 > o.ack);
-        for (task, attempt) in &o.recall {
-            // One that has only just started is moved later: users count on
-            // a start for that long.
-            let young = self.held.get(task).and_then(|h| h.at.as_ref()).is_some_and(|p| {
-                p.phase == Phase::Running && p.stop.is_none() && now - p.since < START_COUNTS_S
-            });
-            // Guard: the tasks of a gang are stopped together or lose their progress.
-            let spec = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
-            let gang = spec.is_some_and(|s| s.shape == Shape::Gang);
-            if !young || gang {
-                self.recall(task, *attempt, Stop::Recalled);
+        self.orders_seq = orders.seq;
+        self.borrowing = orders.borrowing.iter().cloned().collect();
+        self.take_acknowledgement(orders.ack);
+        for (task, attempt) in &orders.recall {
+            self.take_recall(task, *attempt, mirror, now);
+        }
+        for (id, machine) in &mut self.machines {
+            let drain = orders.drain.contains(id);
+            self.dirty |= drain != machine.draining;
+            machine.draining = drain;
+        }
+    }
+
+    /// Queues the tasks of a job that this part has not been given yet.
+    fn take_assignment(&mut self, job: &JobAssignment, mirror: &Mirror, now: Secs) {
+        // The mirror may be behind the leader's: the assignment comes again.
+        let Some(known) = mirror.jobs.get(&job.job) else { return };
+        let mut fresh = false;
+        for &(index, attempt) in &job.tasks {
+            let task = Task { job: job.job.clone(), index };
+            let assignment = job.assignment(index, attempt);
+            let seen = self.seen.entry(task.clone()).or_insert(0);
+            if assignment <= *seen {
+                continue;
+            }
+            *seen = assignment;
+            fresh = true;
+            if let Some(old) = self.held.get(&task) {
+                tracing::warn!(%task, old = old.attempt, attempt, "assigned a task that is held already");
+                continue;
             }
+            let avoid = job.avoid.clone();
+            let held = Held { attempt, assignment, at: None, since: now, avoid, told: None };
+            self.held.insert(task.clone(), held);
+            if !known.live() {
+                self.leave(&task, Leave::Stopped);
+            }
+        }
+        if let Some(room) = job.zone_room.as_ref().filter(|_| fresh) {
+            self.bounds.insert(job.job.clone(), Bounds { room: room.iter().cloned().collect() });
         }
-        for (id, m) in &mut self.machines {
-            let drain = o.drain.contains(id);
-            self.dirty |= drain != m.draining;
-            m.draining = drain;
+    }
+
+    /// The leader has taken in the reports up to `ack`.
+    fn take_acknowledgement(&mut self, ack: u64) {
+        self.acked = ack.min(self.seq);
+        self.gone.retain(|gone| gone.seq > ack);
+        self.dropped.retain(|dropped| dropped.2 > ack);
+        self.unlisted.retain(|unlisted| unlisted.1 > ack);
+    }
+
+    /// A task is to be given back. One that has only just started is moved later:
+    /// users count on a start for that long.
+    fn take_recall(&mut self, task: &Task, attempt: u64, mirror: &Mirror, now: Secs) {
+        let place = self.held.get(task).and_then(|held| held.at.as_ref());
+        let young = place.is_some_and(|place| {
+            place.phase == Phase::Running && place.stop.is_none() && now - place.since < START_COUNTS_S
+        });
+        // Guard: the tasks of a gang are stopped together or lose their progress.
+        let spec = mirror.jobs.get(&task.job).and_then(|job| job.record.spec.as_ref());
+        let gang = spec.is_some_and(|spec| spec.shape == Shape::Gang);
+        if !young || gang {
+            self.recall(task, attempt, Stop::Recalled);
         }
     }
 
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -164,7 +164,7 @@
                     // What is seen wins over what is merely planned.
                     if h.at.is_none() || (why.as_deref() == Some("done") && h.at.is_none()) {
                         let stale = h.attempt;
-                        tracing::warn!(%task, stale, attempt, "dealt task found on a machine");
+                        tracing::warn!(%task, stale, attempt, "assigned task found on a machine");
                         self.held.place(task, *attempt, Place::adopted(id, session, seen_token, now));
                         self.progress(task, *state, why.as_deref(), now);
                         self.dirty = true;
--- a/tests/common/cores.rs
+++ b/tests/common/cores.rs
@@ -9,7 +9,7 @@
 pub use base::SETTINGS;
 use finchwood::assignment::Leader;
 use finchwood::clock::When;
-use finchwood::fleet::{Deal, Orders, Part, ReportReply, Timing};
+use finchwood::fleet::{JobAssignment, Orders, Part, ReportReply, Timing};
 use finchwood::jobs::{Epoch, JobRecord, Mirror, RosterRecord};
 use finchwood::settings::Settings;
 use finchwood::wire::{Call, JobSpec, Report, TaskLine, TaskState};
@@ -110,13 +110,13 @@
     }
 }
 
-pub fn orders(seq: u64, deals: Vec<Deal>) -> Orders {
+pub fn orders(seq: u64, assignments: Vec<JobAssignment>) -> Orders {
     Orders {
         epoch: EPOCH,
         node: "a".into(),
         seq,
         ack: 0,
-        deals,
+        assignments,
         recall: Vec::new(),
         drain: Vec::new(),
         running: None,
@@ -124,8 +124,8 @@
     }
 }
 
-pub fn deal(job: &str, tasks: &[(u32, u64)]) -> Vec<Deal> {
-    vec![Deal {
+pub fn deal(job: &str, tasks: &[(u32, u64)]) -> Vec<JobAssignment> {
+    vec![JobAssignment {
         job: job.into(),
         tasks: tasks.to_vec(),
         zone_room: None,
@@ -167,7 +167,7 @@
 pub fn round(l: &mut Leader, p: &mut Part, mirror: &Mirror, now: f64) {
     l.part_report(p.snapshot(mirror, now), mirror, now);
     l.resolve(mirror, &|_| false);
-    l.deal(mirror, now, || true);
+    l.assign_tasks(mirror, now, || true);
     let o = l.orders("a").expect("orders");
     p.orders(&o, mirror, now);
     place(p, mirror, now);
--- a/tests/concurrent_faults.rs
+++ b/tests/concurrent_faults.rs
@@ -322,14 +322,14 @@
     });
     let m = mirror(8, &[&s]);
     let mut l = two_parts(&m, 8);
-    let touched = l.deal(&m, 0.5, || true);
+    let touched = l.assign_tasks(&m, 0.5, || true);
     assert_eq!(touched.len(), 2, "both take some of it");
     let mut zones = std::collections::BTreeSet::new();
     let mut tasks = 0;
     for node in ["a", "b"] {
         let o = l.orders(node).expect("orders");
-        tasks += o.deals.iter().map(|d| d.tasks.len()).sum::<usize>();
-        let room = o.deals.iter().filter_map(|d| d.zone_room.clone()).flatten();
+        tasks += o.assignments.iter().map(|d| d.tasks.len()).sum::<usize>();
+        let room = o.assignments.iter().filter_map(|d| d.zone_room.clone()).flatten();
         zones.extend(room.map(|(z, _)| z));
     }
     assert_eq!((tasks, zones.len()), (4, 1));
@@ -414,10 +414,10 @@
         p.expire_leases(now);
         assert!(l.part_report(p.snapshot(m, now), m, now));
         l.resolve(m, &|_| false);
-        l.deal(m, now, || true);
+        l.assign_tasks(m, now, || true);
         let o = l.orders("a").expect("orders");
-        p.orders(&Orders { deals: Vec::new(), ..o.clone() }, m, now);
-        o.deals.iter().map(|d| d.tasks.len()).sum::<usize>()
+        p.orders(&Orders { assignments: Vec::new(), ..o.clone() }, m, now);
+        o.assignments.iter().map(|d| d.tasks.len()).sum::<usize>()
     };
     assert_eq!(dealt(&mut l, &mut p, &m, 0.5), 0, "the fourth machine may hold all that is allowed");
     m.put("fw/j/wk-1", record(&old, true), 200);
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -171,8 +171,8 @@
     }
     assert!(l.part_report(p.snapshot(&m, 0.3), &m, 0.3));
     l.resolve(&m, &|_| false);
-    l.deal(&m, 0.5, || true);
-    let deals = l.orders("a").expect("orders").deals;
+    l.assign_tasks(&m, 0.5, || true);
+    let deals = l.orders("a").expect("orders").assignments;
     let dealt: Vec<(&str, usize)> = deals.iter().map(|d| (&*d.job, d.tasks.len())).collect();
     assert_eq!(dealt, [("wk-1", 1)]);
 }
@@ -199,8 +199,8 @@
     let mut again = b.part.snapshot(&b.mirror, b.now);
     again.gone = gone;
     assert!(b.leader.part_report(again, &b.mirror, b.now));
-    b.leader.deal(&b.mirror, b.now, || true);
-    let deals = b.leader.orders("a").expect("orders").deals;
+    b.leader.assign_tasks(&b.mirror, b.now, || true);
+    let deals = b.leader.orders("a").expect("orders").assignments;
     assert!(deals.is_empty(), "the replacement counts as gone: {deals:?}");
 }
 
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -782,7 +782,7 @@
         let mut unreached: Vec<String> = Vec::new();
         if e.leader == NODES[i] {
             node.leader.resolve(&node.mirror, &|id| gone.contains(&**id));
-            node.leader.deal(&node.mirror, now, || true);
+            node.leader.assign_tasks(&node.mirror, now, || true);
             if reached {
                 finishes = node.leader.finishes(now, 9, &node.mirror);
             }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -285,7 +285,7 @@
             node: "a".into(),
             seq: u64::MAX,
             ack: 0,
-            deals: Vec::new(),
+            assignments: Vec::new(),
             recall: Vec::new(),
             drain: Vec::new(),
             running: None,
--- a/tests/preemption.rs
+++ b/tests/preemption.rs
@@ -72,7 +72,7 @@
     fn step(&mut self) {
         self.now += 0.5;
         self.leader.part_report(self.part.snapshot(&self.mirror, self.now), &self.mirror, self.now);
-        self.leader.deal(&self.mirror, self.now, || true);
+        self.leader.assign_tasks(&self.mirror, self.now, || true);
         let orders = self.leader.orders("a").expect("orders");
         self.part.orders(&orders, &self.mirror, self.now);
         self.part.place(&self.mirror, When { now: self.now, day_ms: day_ms() }, || true);
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -2,7 +2,7 @@
 //! task is nowhere, and what shows that a machine is dead.
 
 use finchwood::clock::When;
-use finchwood::fleet::{Deal, DirectRoom, Orders, Part, PartReport, Phase, ReportReply, Timing};
+use finchwood::fleet::{DirectRoom, JobAssignment, Orders, Part, PartReport, Phase, ReportReply, Timing};
 use finchwood::jobs::{Epoch, JobRecord, Member, Mirror, RosterRecord};
 use finchwood::membership::{next_epoch, owner, token};
 use finchwood::rent::{self, Booting, InUse, RentSettings, Want};
@@ -96,7 +96,7 @@
 }
 
 fn deal(p: &mut Part, mirror: &Mirror, job: &str, tasks: &[(u32, u64)], seq: u64) {
-    let deals = vec![Deal {
+    let deals = vec![JobAssignment {
         job: job.into(),
         tasks: tasks.to_vec(),
         zone_room: None,
@@ -108,7 +108,7 @@
         node: "a".into(),
         seq,
         ack: 0,
-        deals,
+        assignments: deals,
         recall: Vec::new(),
         drain: Vec::new(),
         running: None,
@@ -124,7 +124,7 @@
         node: "a".into(),
         seq,
         ack: 0,
-        deals: Vec::new(),
+        assignments: Vec::new(),
         recall: vec![(task, attempt)],
         drain: Vec::new(),
         running: None,
@@ -420,7 +420,7 @@
         node: "a".into(),
         seq: 3,
         ack: 0,
-        deals: Vec::new(),
+        assignments: Vec::new(),
         recall: vec![(finchwood::wire::Task { job: "wk-1".into(), index: 0 }, 50)],
         drain: Vec::new(),
         running: None,
@@ -539,7 +539,7 @@
             node: "a".into(),
             seq: now as u64 + 100,
             ack: 0,
-            deals: Vec::new(),
+            assignments: Vec::new(),
             recall: Vec::new(),
             drain: Vec::new(),
             running: None,
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -10,7 +10,7 @@
 
 use cores::*;
 use finchwood::finished::{chunks_covering, tasks_per_chunk, Chunk, ChunkRange};
-use finchwood::fleet::{Deal, Gone, HeldView, Leave, Orders, PartReport, Phase};
+use finchwood::fleet::{Gone, HeldView, JobAssignment, Leave, Orders, PartReport, Phase};
 use finchwood::jobs::{Member, Mirror};
 use finchwood::peer::{Envelope, Message};
 use finchwood::wire::{Shape, Task};
@@ -164,7 +164,7 @@
     let gone: Vec<(u64, Leave, u64)> = part.gone.iter().map(|g| (g.attempt, g.how, g.assignment)).collect();
     assert_eq!(gone, [(72, Leave::Passed, 0), (71, Leave::Error, 0)]);
     let Message::Orders(orders) = message("orders").message else { panic!("not orders") };
-    let deal = &orders.deals[0];
+    let deal = &orders.assignments[0];
     assert_eq!((deal.tasks.len(), deal.zone_room.is_some(), deal.assignments.len()), (3, true, 0));
     assert_eq!((orders.recall.len(), orders.drain.len()), (1, 1));
     assert!(matches!(message("hello").message, Message::Hello));
@@ -174,7 +174,7 @@
 // without the assignments, and takes no task twice under one attempt.
 #[test]
 fn production_reads_orders_with_gangs() {
-    let deals = vec![Deal {
+    let deals = vec![JobAssignment {
         job: "wk-1".into(),
         tasks: vec![(0, 50), (1, 50)],
         zone_room: Some(vec![("e".into(), 2)]),
