A suspected job gets as many more tasks as are seen to run

Cause, read in the code: one long task that tries a job which only met faulty machines would have held up the rest of it. Seen to fail without it: tests/failures.rs.

--- a/src/assignment/failures.rs
+++ b/src/assignment/failures.rs
@@ -84,17 +84,15 @@
 
 impl JobEntry {
     /// How many of `free` tasks may be started. A suspected job is tried with one
-    /// task: all of them would take the same room again and again.
+    /// task, since all of them would take the same room again and again. Guard: as
+    /// many more follow as are seen to run, or one long task would hold up a job
+    /// that only met faulty machines.
     pub(super) fn tries_allowed(&self, free: usize) -> usize {
         if !self.failures.suspected() || self.spec.shape == Shape::Gang {
             return free;
         }
-        let replicas_run = self.spec.shape == Shape::Service && self.has_running_task();
-        match (replicas_run, self.assigned.is_empty()) {
-            (true, _) => free,
-            (false, true) => free.min(1),
-            (false, false) => 0,
-        }
+        let at_once = (self.running_tasks() * 2).max(1);
+        free.min(at_once.saturating_sub(self.assigned.len()))
     }
 }
 
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -86,8 +86,8 @@
         let differ = unlisted.filter(|(_, d)| &*d.part == node && d.assignment != d.attempt);
         differ.map(|(index, d)| (index, d.assignment)).collect()
     }
-    fn has_running_task(&self) -> bool {
-        self.assigned.values().any(|assigned| assigned.phase == Phase::Running)
+    fn running_tasks(&self) -> usize {
+        self.assigned.values().filter(|assigned| assigned.phase == Phase::Running).count()
     }
     fn unassign(&mut self, index: u32) -> Option<AssignedTask> {
         self.unlisted.remove(&index);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -26,7 +26,10 @@
     seq: u64,
     now: f64,
     faulty: BTreeSet<usize>,
-    shown: Vec<BTreeMap<String, (u64, &'static str)>>,
+    /// Attempt and cause; a task without a cause runs.
+    shown: Vec<BTreeMap<String, (u64, Option<&'static str>)>>,
+    /// Tasks that don't fail run on.
+    long_tasks: bool,
     /// When tasks of broken jobs were started, and where.
     failed: Vec<(f64, usize)>,
     completed: BTreeSet<String>,
@@ -46,6 +49,7 @@
             now: 1.0,
             faulty: BTreeSet::new(),
             shown: vec![BTreeMap::new(); machines],
+            long_tasks: false,
             failed: Vec::new(),
             completed: BTreeSet::new(),
         }
@@ -61,8 +65,10 @@
         for machine in 0..self.shown.len() {
             self.seq += 1;
             let shown = &self.shown[machine];
+            let state =
+                |cause: Option<&str>| if cause.is_some() { TaskState::Ended } else { TaskState::Running };
             let lines: Vec<Line> =
-                shown.iter().map(|(t, s)| (t.as_str(), s.0, TaskState::Ended, Some(s.1))).collect();
+                shown.iter().map(|(task, s)| (task.as_str(), s.0, state(s.1), s.1)).collect();
             let r = report(machine + 1, 1, self.seq, self.tokens[machine], &lines);
             let (token, calls) = answered(self.part.report(&r, false, &self.mirror, self.now));
             self.tokens[machine] = token;
@@ -75,7 +81,12 @@
             Call::Start { task, attempt } => {
                 let broken = task.starts_with(BROKEN);
                 let fails = broken || self.faulty.contains(&machine);
-                self.shown[machine].insert(task.clone(), (*attempt, if fails { "error" } else { "done" }));
+                let cause = match (fails, self.long_tasks) {
+                    (true, _) => Some("error"),
+                    (false, true) => None,
+                    (false, false) => Some("done"),
+                };
+                self.shown[machine].insert(task.clone(), (*attempt, cause));
                 if broken {
                     self.failed.push((self.now, machine));
                 } else if !fails {
@@ -164,6 +175,16 @@
     fleet.faulty.extend([0, 1]);
     fleet.run(30);
     assert!(fleet.completed.is_empty() || fleet.shown[2].len() > 1, "{:?}", fleet.shown);
-    let on_sound = fleet.shown[2].values().filter(|s| s.1 == "done").count();
+    let on_sound = fleet.shown[2].values().filter(|s| s.1 == Some("done")).count();
     assert_eq!(on_sound, 12, "all its tasks complete on the machine that works");
 }
+
+#[test]
+fn a_job_that_only_met_faulty_machines_runs_whole_as_soon_as_its_tasks_are_seen_to_run() {
+    let mut fleet = Fleet::new(10, &[spec("wk-array", 16, |_| {})]);
+    fleet.faulty.extend([0, 1]);
+    fleet.long_tasks = true;
+    fleet.run(60);
+    let running = fleet.shown.iter().flat_map(BTreeMap::values).filter(|s| s.1.is_none()).count();
+    assert_eq!(running, 16, "none waits for the end of another");
+}
