--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -18,6 +18,10 @@
 /// The most machines that one deletion may name.
 const MOST_DELETED: usize = 100;
 
+/// For how many seconds the rate of the cloud may be taken by rentals without an
+/// answer before more are asked for.
+const UNANSWERED_S: f64 = 0.75;
+
 /// The share of all replicas that may be moved in a second.
 const MOVED_PER_S: f64 = 1.0 / 750.0;
 
@@ -170,7 +174,8 @@
         let spare = self.leader.service_cpus() * self.policy.knobs.spare_share;
         self.leader.reserve = spare;
         self.empty_machines(&up.in_use, &catalog, spare, now);
-        if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
+        let early = now - self.renting.rented_at < report_s / 3.0;
+        if early || self.cloud_is_behind() || !self.leader.all_joined() {
             return;
         }
         let wants = self.wants(spare - up.free_ordinary);
@@ -185,6 +190,14 @@
         self.rent(orders, now);
     }
 
+    /// Whether rentals wait for their turn at the cloud's rate. Guard: many small
+    /// requests, a few machines of each offer at a time, took the cloud seconds to
+    /// answer; asked for later, the same machines come in fewer requests and sooner.
+    fn cloud_is_behind(&self) -> bool {
+        let pending = self.renting.open.values().filter(|rental| rental.pending).count();
+        pending as f64 > self.settings.params.cloud.rps * UNANSWERED_S
+    }
+
     /// Asks the cloud what is due: the catalogue, the machine list, rentals that
     /// have got no certain answer.
     fn ask_cloud(&mut self, now: Secs) {
