--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -6,7 +6,7 @@
 use crate::clock::{self, Secs};
 use crate::cloud;
 use crate::failure_detection::{FailureDetector, MachineHealth, Verdict};
-use crate::rent::{self, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
+use crate::rent::{self, BootProgress, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
 use crate::settings::Workers;
 use crate::wire::{Catalog, MachineId, RentRequest, Shape};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -18,10 +18,6 @@
 /// The most machines that one deletion may name.
 const MOST_DELETED: usize = 100;
 
-/// For how many seconds the rate of the cloud may be taken by rentals without an
-/// answer before more are asked for.
-const UNANSWERED_S: f64 = 0.75;
-
 /// The share of all replicas that may be moved in a second.
 const MOVED_PER_S: f64 = 1.0 / 750.0;
 
@@ -190,12 +186,9 @@
         self.rent(orders, now);
     }
 
-    /// Whether rentals wait for their turn at the cloud's rate. Guard: many small
-    /// requests, a few machines of each offer at a time, took the cloud seconds to
-    /// answer; asked for later, the same machines come in fewer requests and sooner.
     fn cloud_is_behind(&self) -> bool {
         let pending = self.renting.open.values().filter(|rental| rental.pending).count();
-        pending as f64 > self.settings.params.cloud.rps * UNANSWERED_S
+        rent::cloud_is_behind(pending, self.settings.params.cloud.rps)
     }
 
     /// Asks the cloud what is due: the catalogue, the machine list, rentals that
@@ -237,7 +230,8 @@
             let boot_s = catalog.get(&record.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
             // That it is up may not have been written before the leader changed.
             let heard_by_now = now - self.renting.led_since > report_s * 2.5;
-            if age_s > boot_s * self.policy.knobs.never_boots + 10.0 && heard_by_now {
+            let progress = self.policy.knobs.boot_progress(age_s, boot_s);
+            if progress == BootProgress::Never && heard_by_now {
                 out.never.push(id.clone());
             } else {
                 let offer = (record.kind.clone(), record.zone.clone(), record.spot);
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -44,7 +44,7 @@
     pub stays_cpus: f64,
 }
 
-/// RentSettings, all of them ratios to figures of the settings or the catalogue.
+/// Settings of renting, all of them ratios to figures of the settings or the catalogue.
 #[derive(Debug, Clone)]
 pub struct RentSettings {
     /// Idle machines are kept for this share of their boot time.
@@ -72,6 +72,46 @@
     }
 }
 
+/// How far a machine is that has not reported yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BootProgress {
+    /// It is counted on.
+    Expected,
+    /// It may come yet, but is not counted on: another is rented for its work.
+    Late,
+    /// It never will: it is deleted.
+    Never,
+}
+
+/// What the age at which a machine is late has beside its boot time, in seconds: the
+/// way of its first report. One that never comes has twice that.
+const FIRST_REPORT_S: Secs = 5.0;
+
+impl RentSettings {
+    /// How far a machine is, `age_s` after it was rented, whose boot takes `boot_s`.
+    pub fn boot_progress(&self, age_s: Secs, boot_s: Secs) -> BootProgress {
+        let never_s = boot_s * self.never_boots + 2.0 * FIRST_REPORT_S;
+        if age_s > never_s {
+            BootProgress::Never
+        } else if age_s >= never_s / 2.0 {
+            BootProgress::Late
+        } else {
+            BootProgress::Expected
+        }
+    }
+}
+
+/// For how many seconds the rate of the cloud may be taken by rentals without an
+/// answer before more are asked for.
+const UNANSWERED_S: Secs = 0.75;
+
+/// Whether rentals wait for their turn at the cloud's rate. Guard: many small
+/// requests, a few machines of each offer at a time, took the cloud seconds to
+/// answer; asked for later, the same machines come in fewer requests and sooner.
+pub fn cloud_is_behind(unanswered_rentals: usize, cloud_rps: f64) -> bool {
+    unanswered_rentals as f64 > cloud_rps * UNANSWERED_S
+}
+
 /// The least that a machine is charged for.
 pub const LEAST_CHARGE_S: f64 = 60.0;
 
@@ -88,8 +128,8 @@
         .iter()
         .filter_map(|b| {
             let t = catalog.get(&b.offer.0)?;
-            // One that is late is not counted on any more.
-            (b.age_s < t.boot_s * knobs.never_boots / 2.0 + 5.0).then(|| (b.offer.clone(), t.total()))
+            let expected = knobs.boot_progress(b.age_s, t.boot_s) == BootProgress::Expected;
+            expected.then(|| (b.offer.clone(), t.total()))
         })
         .collect();
     let mut zones = zones.clone();
