--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -84,6 +84,8 @@
     /// Takes new tasks.
     pub open: bool,
     pub noticed: bool,
+    /// Tasks of two jobs failed there. Read by earlier versions only: the leader of this
+    /// one judges by the failures of all machines.
     pub faulty: bool,
     /// Only one way between it and its owner is open: its reports arrive, but it
     /// acts on nothing it is answered, or it obeys direct commands but doesn't
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -115,103 +115,147 @@
 /// The least that a machine is charged for.
 pub const LEAST_CHARGE_S: f64 = 60.0;
 
-/// What to rent now: offers and how many of each.
+/// What to rent now: offers and how many of each. `zones` counts the ordinary machines
+/// that are there.
 pub fn rent(
     wants: &[Want],
     booting: &[Booting],
     zones: &BTreeMap<Arc<str>, u32>,
     catalog: &Catalog,
-    knobs: &RentSettings,
+    settings: &RentSettings,
     blocked: &dyn Fn(&Offer) -> bool,
 ) -> BTreeMap<Offer, u32> {
-    let mut coming: Vec<(Offer, Res)> = booting
-        .iter()
-        .filter_map(|b| {
-            let t = catalog.get(&b.offer.0)?;
-            let expected = knobs.boot_progress(b.age_s, t.boot_s) == BootProgress::Expected;
-            expected.then(|| (b.offer.clone(), t.total()))
-        })
-        .collect();
-    let mut zones = zones.clone();
-    for (o, _) in &coming {
-        *zones.entry(o.1.clone()).or_default() += 1;
+    let coming: Vec<(Offer, Res)> = booting.iter().filter_map(|b| expected(b, catalog, settings)).collect();
+    let mut machines_in_zone = zones.clone();
+    for (offer, _) in &coming {
+        *machines_in_zone.entry(offer.1.clone()).or_default() += 1;
     }
-    let mut new: BTreeMap<Offer, u32> = BTreeMap::new();
-    let mut order: Vec<&Want> = wants.iter().collect();
-    order.sort_by_key(|w| w.spec.rank);
-    for w in order {
-        // Guard: what is left of a job binds the rest. Rented in another zone, the
-        // machines for it stood idle, and the job waited for ever.
-        let mut in_zone: HashMap<Arc<str>, u32> = w.zones.clone().into_iter().collect();
-        // Jobs for one zone get all their machines in the zone of the first.
-        let zone_ok = |zone: &Arc<str>, taken: &HashMap<Arc<str>, u32>| {
-            taken.get(zone).copied().unwrap_or(0) < w.spec.zone_cap()
-                && (!w.spec.one_zone || taken.is_empty() || taken.contains_key(zone))
-        };
-        // How many more a zone takes, and how many an offer's machine holds.
-        let zone_left = |zone: &Arc<str>, taken: &HashMap<Arc<str>, u32>| {
-            let taken = taken.get(zone).copied().unwrap_or(0);
-            w.spec.zone_cap().saturating_sub(taken)
-        };
-        let mut left = w.count;
-        for (o, free) in coming.iter_mut() {
-            if left == 0 {
-                break;
-            }
-            if !best_fit::allowed(&w.spec, &o.0, &o.1, o.2) || !zone_ok(&o.1, &in_zone) {
-                continue;
-            }
-            let n = free.count(&w.ask).min(left).min(zone_left(&o.1, &in_zone));
-            for _ in 0..n {
-                free.take(&w.ask);
+    let mut plan = Plan { catalog, settings, blocked, coming, machines_in_zone, orders: BTreeMap::new() };
+    let mut by_rank: Vec<&Want> = wants.iter().collect();
+    by_rank.sort_by_key(|want| want.spec.rank);
+    for want in by_rank {
+        plan.provide_for(want);
+    }
+    plan.orders
+}
+
+/// The room of a machine that boots, if it is counted on.
+fn expected(booting: &Booting, catalog: &Catalog, settings: &RentSettings) -> Option<(Offer, Res)> {
+    let machine_type = catalog.get(&booting.offer.0)?;
+    let progress = settings.boot_progress(booting.age_s, machine_type.boot_s);
+    (progress == BootProgress::Expected).then(|| (booting.offer.clone(), machine_type.total()))
+}
+
+/// What is rented, want by want.
+struct Plan<'a> {
+    catalog: &'a Catalog,
+    settings: &'a RentSettings,
+    blocked: &'a dyn Fn(&Offer) -> bool,
+    /// Free room of machines that boot, or are ordered here.
+    coming: Vec<(Offer, Res)>,
+    machines_in_zone: BTreeMap<Arc<str>, u32>,
+    orders: BTreeMap<Offer, u32>,
+}
+
+/// Where the tasks of one want go, and how many are left.
+struct Remaining<'a> {
+    want: &'a Want,
+    count: u32,
+    /// Guard: what is left of a job binds the rest. Rented in another zone, the
+    /// machines for it stood idle, and the job waited for ever.
+    in_zone: HashMap<Arc<str>, u32>,
+}
+
+impl Remaining<'_> {
+    /// How many more tasks a zone may take. A job for one zone gets all its machines in
+    /// the zone of the first.
+    fn zone_left(&self, zone: &Arc<str>) -> u32 {
+        let spec = &self.want.spec;
+        if spec.one_zone && !self.in_zone.is_empty() && !self.in_zone.contains_key(zone) {
+            return 0;
+        }
+        spec.zone_cap().saturating_sub(self.in_zone.get(zone).copied().unwrap_or(0))
+    }
+
+    /// Whether machines of an offer may be used.
+    fn allows(&self, offer: &Offer) -> bool {
+        best_fit::allowed(&self.want.spec, &offer.0, &offer.1, offer.2) && self.zone_left(&offer.1) > 0
+    }
+
+    /// Puts as many tasks as fit on a machine; returns their number.
+    fn put_on(&mut self, offer: &Offer, free: &mut Res) -> u32 {
+        let count = free.count(&self.want.ask).min(self.count).min(self.zone_left(&offer.1));
+        for _ in 0..count {
+            free.take(&self.want.ask);
+        }
+        if count > 0 {
+            *self.in_zone.entry(offer.1.clone()).or_default() += count;
+            self.count -= count;
+        }
+        count
+    }
+}
+
+impl Plan<'_> {
+    /// Uses what is coming, and orders the rest.
+    fn provide_for(&mut self, want: &Want) {
+        let in_zone = want.zones.clone().into_iter().collect();
+        let mut remaining = Remaining { want, count: want.count, in_zone };
+        for (offer, free) in &mut self.coming {
+            if remaining.count == 0 {
+                return;
             }
-            if n > 0 {
-                *in_zone.entry(o.1.clone()).or_default() += n;
-                left -= n;
+            if remaining.allows(offer) {
+                remaining.put_on(offer, free);
             }
         }
-        while left > 0 {
-            let best = offers(catalog)
-                .filter(|o| {
-                    best_fit::allowed(&w.spec, &o.0, &o.1, o.2)
-                        && !blocked(o)
-                        && (o.2 || !w.spot_only && !waits_for_spot(w, catalog, knobs))
-                        && zone_ok(&o.1, &in_zone)
-                })
-                .filter_map(|o| {
-                    let t = catalog.get(&o.0)?;
-                    let n = t.total().count(&w.ask);
-                    let price = if o.2 { t.spot_price } else { t.price };
-                    (n > 0).then(|| {
-                        // A big machine that stays mostly empty is not cheap.
-                        let used = f64::from(n.min(w.count.max(1)));
-                        let per_task = price / used.max(f64::from(n) * 0.5);
-                        (per_task, zones.get(&o.1).copied().unwrap_or(0), o)
-                    })
-                })
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-            let Some((_, _, o)) = best else { break };
-            let Some(t) = catalog.get(&o.0) else { break };
-            let mut free = t.total();
-            let n = free.count(&w.ask).min(left).min(zone_left(&o.1, &in_zone)).max(1);
-            for _ in 0..n {
-                free.take(&w.ask);
+        while remaining.count > 0 {
+            let Some(offer) = self.cheapest(&remaining) else { return };
+            let Some(machine_type) = self.catalog.get(&offer.0) else { return };
+            let mut free = machine_type.total();
+            if remaining.put_on(&offer, &mut free) == 0 {
+                return;
             }
-            left -= n;
-            *in_zone.entry(o.1.clone()).or_default() += n;
-            *zones.entry(o.1.clone()).or_default() += 1;
-            *new.entry(o.clone()).or_default() += 1;
-            coming.push((o, free));
+            *self.machines_in_zone.entry(offer.1.clone()).or_default() += 1;
+            *self.orders.entry(offer.clone()).or_default() += 1;
+            self.coming.push((offer, free));
         }
     }
-    new
+
+    /// The offer with the lowest price for each task; of several, that of the zone with
+    /// the fewest machines.
+    fn cheapest(&self, remaining: &Remaining) -> Option<Offer> {
+        let want = remaining.want;
+        let waits = waits_for_spot(want, self.catalog, self.settings);
+        let usable = |offer: &Offer| {
+            let kind = offer.2 || !want.spot_only && !waits;
+            kind && remaining.allows(offer) && !(self.blocked)(offer)
+        };
+        let priced = offers(self.catalog).filter(usable).filter_map(|offer| {
+            let price = self.price_per_task(want, &offer)?;
+            let machines = self.machines_in_zone.get(&offer.1).copied().unwrap_or(0);
+            Some((price, machines, offer))
+        });
+        let cheapest = priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        cheapest.map(|(_, _, offer)| offer)
+    }
+
+    /// What a task costs on a machine of an offer; none if it doesn't fit.
+    fn price_per_task(&self, want: &Want, offer: &Offer) -> Option<f64> {
+        let machine_type = self.catalog.get(&offer.0)?;
+        let fit = machine_type.total().count(&want.ask);
+        let price = if offer.2 { machine_type.spot_price } else { machine_type.price };
+        // A big machine that stays mostly empty is not cheap.
+        let used = f64::from(fit.min(want.count.max(1)));
+        (fit > 0).then(|| price / used.max(f64::from(fit) * 0.5))
+    }
 }
 
 /// Low work is in no hurry: spot machines and room that comes free are cheaper
 /// than an ordinary machine rented at once.
-fn waits_for_spot(w: &Want, catalog: &Catalog, knobs: &RentSettings) -> bool {
+fn waits_for_spot(w: &Want, catalog: &Catalog, settings: &RentSettings) -> bool {
     let boot = catalog.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
-    w.spec.spot && w.spec.rank == Rank::Low && w.age_s < boot * knobs.low_waits_boots
+    w.spec.spot && w.spec.rank == Rank::Low && w.age_s < boot * settings.low_waits_boots
 }
 
 fn offers(catalog: &Catalog) -> impl Iterator<Item = Offer> + '_ {
@@ -226,7 +270,7 @@
     machines: &[InUse],
     catalog: &Catalog,
     spare_cpus: f64,
-    knobs: &RentSettings,
+    settings: &RentSettings,
 ) -> Vec<MachineId> {
     let mut spare: f64 = machines.iter().filter(|m| !m.offer.2 && m.open).map(|m| m.free.cpus.max(0.0)).sum();
     let mut idle: Vec<&InUse> = machines.iter().filter(|m| m.tasks == 0).collect();
@@ -234,7 +278,7 @@
     let mut out = Vec::new();
     for m in idle {
         let boot = catalog.get(&m.offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-        if m.idle_s < boot * knobs.idle_boots || m.age_s < LEAST_CHARGE_S * 0.9 {
+        if m.idle_s < boot * settings.idle_boots || m.age_s < LEAST_CHARGE_S * 0.9 {
             continue;
         }
         if !m.offer.2 && m.open {
@@ -269,7 +313,7 @@
     machines: &[InUse],
     catalog: &Catalog,
     spare_cpus: f64,
-    knobs: &RentSettings,
+    settings: &RentSettings,
 ) -> Vec<MachineId> {
     let open: Vec<&InUse> = machines.iter().filter(|m| m.open).collect();
     let mut free: f64 = open.iter().map(|m| m.free.cpus.max(0.0)).sum();
@@ -285,7 +329,7 @@
     let mut out = Vec::new();
     for m in order {
         // What it runs moves on to the others as its tasks end.
-        if out.len() >= most || free - cpus(m, catalog) < spare_cpus + work * knobs.slack_share {
+        if out.len() >= most || free - cpus(m, catalog) < spare_cpus + work * settings.slack_share {
             break;
         }
         free -= cpus(m, catalog);
--- a/tests/concurrent_faults.rs
+++ b/tests/concurrent_faults.rs
@@ -427,3 +427,28 @@
     assert_eq!(dealt(&mut l, &mut p, &m, 27.0), 0, "its worker's lease may not be past");
     assert_eq!(dealt(&mut l, &mut p, &m, 29.0), 4, "it is: the doubt has ended");
 }
+
+/// Guard: a machine that is up within a second or two is used at once, while writes
+/// lag; the next leader must find on the roster that it may hold tasks.
+#[test]
+fn a_machine_gets_no_task_before_its_mark_as_up_is_committed() {
+    let job = spec("wk-1", 1, |_| {});
+    let mut mirror = mirror(1, &[&job]);
+    let mut record = mirror.roster["m-1"].0.clone();
+    record.up = false;
+    mirror.put("fw/r/m-1", json!(record), 200);
+    let mut part = part(&mirror);
+    let token = met(&mut part, &mirror, 1, 0.2);
+    assert!(!part.snapshot(&mirror, 0.3).machines[0].open, "it reports, and takes nothing yet");
+    part.orders(&orders(1, deal("wk-1", &[(0, 50)])), &mirror, 0.4);
+    place(&mut part, &mirror, 0.5);
+    let (token, calls) = answered(part.report(&report(1, 1, 3, token, &[]), false, &mirror, 0.6));
+    assert_eq!(calls, []);
+    record.up = true;
+    mirror.put("fw/r/m-1", json!(record.clone()), 201);
+    part.list(&"m-1".into(), &record, 0.7);
+    part.orders(&orders(2, deal("wk-1", &[(0, 51)])), &mirror, 0.8);
+    place(&mut part, &mirror, 0.9);
+    let (_, calls) = answered(part.report(&report(1, 1, 4, token, &[]), false, &mirror, 1.0));
+    assert!(matches!(calls[..], [Call::Start { attempt: 51, .. }]), "{calls:?}");
+}
