--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -6,7 +6,7 @@
 use crate::clock::{self, Secs};
 use crate::cloud;
 use crate::failure_detection::{FailureDetector, MachineHealth, Verdict};
-use crate::rent::{self, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
+use crate::rent::{self, BootProgress, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
 use crate::settings::Workers;
 use crate::wire::{Catalog, MachineId, RentRequest, Shape};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -170,7 +170,8 @@
         let spare = self.leader.service_cpus() * self.policy.knobs.spare_share;
         self.leader.reserve = spare;
         self.empty_machines(&up.in_use, &catalog, spare, now);
-        if now - self.renting.rented_at < report_s / 3.0 || !self.leader.all_joined() {
+        let early = now - self.renting.rented_at < report_s / 3.0;
+        if early || self.cloud_is_behind() || !self.leader.all_joined() {
             return;
         }
         let wants = self.wants(spare - up.free_ordinary);
@@ -185,6 +186,11 @@
         self.rent(orders, now);
     }
 
+    fn cloud_is_behind(&self) -> bool {
+        let pending = self.renting.open.values().filter(|rental| rental.pending).count();
+        rent::cloud_is_behind(pending, self.settings.params.cloud.rps)
+    }
+
     /// Asks the cloud what is due: the catalogue, the machine list, rentals that
     /// have got no certain answer.
     fn ask_cloud(&mut self, now: Secs) {
@@ -224,7 +230,8 @@
             let boot_s = catalog.get(&record.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
             // That it is up may not have been written before the leader changed.
             let heard_by_now = now - self.renting.led_since > report_s * 2.5;
-            if age_s > boot_s * self.policy.knobs.never_boots + 10.0 && heard_by_now {
+            let progress = self.policy.knobs.boot_progress(age_s, boot_s);
+            if progress == BootProgress::Never && heard_by_now {
                 out.never.push(id.clone());
             } else {
                 let offer = (record.kind.clone(), record.zone.clone(), record.spot);
