--- /dev/null
+++ b/tests/many_small_jobs.rs
@@ -0,0 +1,161 @@
+//! Jobs of one task, several a second for minutes, a quarter of them cancelled: what is
+//! cancelled does not start and is gone, the rest runs once and ends, nothing is kept of
+//! either. The real leader and part, driven by hand.
+
+#[path = "common/cores.rs"]
+mod cores;
+
+use cores::*;
+use finchwood::assignment::Leader;
+use finchwood::fleet::Part;
+use finchwood::jobs::{JobRecord, Mirror};
+use finchwood::wire::{Call, JobId, TaskState};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+const MACHINES: usize = 10;
+const JOBS: usize = 480;
+const JOBS_A_STEP: usize = 2;
+/// Steps of half a second that a task runs.
+const RUN_STEPS: u32 = 8;
+/// How soon a cancelled task is gone.
+const STOPPED_STEPS: u32 = 2;
+
+struct Fleet {
+    mirror: Mirror,
+    leader: Leader,
+    part: Part,
+    tokens: Vec<u64>,
+    version: u64,
+    step: u32,
+    /// The step in which each task of a machine was started.
+    running: Vec<BTreeMap<String, (u64, u32)>>,
+    ended: Vec<BTreeMap<String, (u64, &'static str)>>,
+    starts: BTreeMap<String, u32>,
+    /// The step in which each was cancelled.
+    cancelled: BTreeMap<String, u32>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let mirror = mirror(MACHINES, &[]);
+        let (leader, part, tokens) = pair(&mirror, MACHINES);
+        Fleet {
+            mirror,
+            leader,
+            part,
+            tokens,
+            version: 1_000,
+            step: 0,
+            running: vec![BTreeMap::new(); MACHINES],
+            ended: vec![BTreeMap::new(); MACHINES],
+            starts: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+        }
+    }
+
+    fn commit(&mut self, id: &JobId, record: &JobRecord) {
+        self.version += 1;
+        self.mirror.put(&format!("fw/j/{id}"), json!(record), self.version);
+        self.part.job_changed(id, &self.mirror);
+        self.leader.job_changed(id, &self.mirror);
+    }
+
+    fn submit(&mut self, number: usize) {
+        let spec = spec(&format!("wk-{number}"), 1, |_| {});
+        let id = spec.id.clone();
+        let record = JobRecord {
+            spec: Some(spec),
+            epoch: EPOCH,
+            at_ms: 0,
+            tasks: 1,
+            cancelled: false,
+            done: false,
+            cancelled_at_ms: None,
+        };
+        self.commit(&id, &record);
+    }
+
+    /// Cancels a job, unless it is done.
+    fn cancel(&mut self, number: usize) {
+        let id: JobId = format!("wk-{number}").into();
+        let record = self.mirror.jobs[&id].record.clone();
+        if !record.done {
+            self.cancelled.insert(id.to_string(), self.step);
+            self.commit(&id, &JobRecord { cancelled: true, cancelled_at_ms: Some(0), ..record });
+        }
+    }
+
+    fn advance(&mut self) {
+        self.step += 1;
+        let now = 1.0 + f64::from(self.step) * 0.5;
+        round(&mut self.leader, &mut self.part, &self.mirror, now);
+        for finish in self.leader.finishes(now, 100, &self.mirror) {
+            let record = self.mirror.jobs[&finish.job].record.clone();
+            self.commit(&finish.job, &JobRecord { done: true, spec: None, ..record });
+            self.leader.finish_answered(&finish.job, now, now);
+        }
+        for machine in 0..MACHINES {
+            self.report(machine, now);
+        }
+        self.part.forget_what_is_over(&self.mirror, now);
+    }
+
+    fn report(&mut self, machine: usize, now: f64) {
+        let step = self.step;
+        for task in self.running[machine].keys() {
+            let cancelled = self.cancelled.get(task.trim_end_matches("/0"));
+            assert!(cancelled.is_none_or(|at| step - at <= STOPPED_STEPS), "{task} runs on");
+        }
+        let over = self.running[machine].extract_if(.., |_, (_, since)| step - *since >= RUN_STEPS);
+        let over: Vec<_> = over.map(|(task, (attempt, _))| (task, (attempt, "done"))).collect();
+        self.ended[machine].extend(over);
+        let running = self.running[machine].iter().map(|(t, s)| (t.as_str(), s.0, TaskState::Running, None));
+        let ended = self.ended[machine].iter().map(|(t, s)| (t.as_str(), s.0, TaskState::Ended, Some(s.1)));
+        let lines: Vec<Line> = running.chain(ended).collect();
+        let report = report(machine + 1, 1, 10 + u64::from(step), self.tokens[machine], &lines);
+        let (token, calls) = answered(self.part.report(&report, false, &self.mirror, now));
+        self.tokens[machine] = token;
+        for call in calls {
+            match call {
+                Call::Start { task, attempt } => {
+                    let job = task.trim_end_matches("/0");
+                    assert!(!self.cancelled.contains_key(job), "{task} starts after its cancellation");
+                    *self.starts.entry(task.clone()).or_default() += 1;
+                    self.running[machine].insert(task, (attempt, step));
+                }
+                Call::Stop { task, .. } => {
+                    if let Some((attempt, _)) = self.running[machine].remove(&task) {
+                        self.ended[machine].insert(task, (attempt, "stopped"));
+                    }
+                }
+                Call::Forget { task, .. } => drop(self.ended[machine].remove(&task)),
+            }
+        }
+    }
+}
+
+#[test]
+fn small_jobs_run_once_or_are_gone_and_leave_nothing_behind() {
+    let mut fleet = Fleet::new();
+    for first in (0..JOBS).step_by(JOBS_A_STEP) {
+        (first..first + JOBS_A_STEP).for_each(|number| fleet.submit(number));
+        // At once after it was accepted, while it runs, or as it ends.
+        let waited = [0, 3, 5][first / 8 % 3];
+        if first % 4 == 0 && first >= waited * JOBS_A_STEP {
+            fleet.cancel(first - waited * JOBS_A_STEP);
+        }
+        fleet.advance();
+    }
+    for _ in 0..60 {
+        fleet.advance();
+    }
+    assert!(fleet.cancelled.len() > JOBS / 8, "{} were cancelled", fleet.cancelled.len());
+    for (id, job) in &fleet.mirror.jobs {
+        assert_ne!(job.record.done, job.record.cancelled, "{id} has one end");
+    }
+    assert!(fleet.starts.values().all(|starts| *starts == 1), "{:?}", fleet.starts);
+    assert!(fleet.running.iter().all(BTreeMap::is_empty), "nothing runs any more");
+    assert!(fleet.ended.iter().all(BTreeMap::is_empty), "workers need keep no result");
+    assert_eq!(fleet.leader.counts(), (0, 0, 0));
+}
