--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -13,7 +13,7 @@
 use finchwood::fleet::{Gone, HeldView, JobAssignment, Leave, Orders, PartReport, Phase};
 use finchwood::jobs::{Member, Mirror};
 use finchwood::peer::{Envelope, Message};
-use finchwood::wire::{Shape, Task};
+use finchwood::wire::{Res, Shape, Task};
 use serde_json::{json, Value};
 
 const STATE: &str = include_str!("fixtures/production-state.txt");
@@ -41,6 +41,16 @@
         pub held: Vec<HeldView>,
         pub gone: Vec<Gone>,
         pub dropped: Vec<(Task, u64, u64)>,
+        pub machines: Vec<MachineView>,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct MachineView {
+        pub id: String,
+        pub yielding: Resources,
+    }
+    #[derive(Debug, Deserialize)]
+    pub struct Resources {
+        pub cpus: f64,
     }
     #[derive(Debug, Deserialize, PartialEq)]
     pub struct Task {
@@ -182,7 +192,8 @@
         assignments: vec![(1, 51)],
     }];
     let recall = vec![(Task { job: "wk-2".into(), index: 1 }, 60)];
-    let read = in_production(Message::Orders(Orders { recall, ..orders(1, deals) }));
+    let read =
+        in_production(Message::Orders(Orders { recall, borrowing: vec!["t".into()], ..orders(1, deals) }));
     let production::Message::Orders(read) = read else { panic!("not orders") };
     assert_eq!(read.epoch, EPOCH);
     assert_eq!((read.deals[0].job.as_str(), &read.deals[0].tasks[..]), ("wk-1", &[(0, 50), (1, 50)][..]));
@@ -222,6 +233,21 @@
     assert!(matches!(in_production(Message::Hello), production::Message::Hello));
 }
 
+// What borrowing low work would give up is a field that production leaves out; from
+// production nothing is said of it, and nothing is assigned on its strength.
+#[test]
+fn production_reads_machines_with_low_work_that_yields() {
+    let Message::Part(mut report) = message("part").message else { panic!("not a part's report") };
+    assert!(report.machines.iter().all(|machine| machine.yielding_low.is_empty()));
+    report.machines[0].yielding = Res { cpus: 6.0, gpus: 0.0, mem: 1.0 };
+    report.machines[0].yielding_low = Res { cpus: 4.0, gpus: 0.0, mem: 1.0 };
+    let id = report.machines[0].id.to_string();
+    let read = in_production(Message::Part(report));
+    let production::Message::Part(read) = read else { panic!("not a part's report") };
+    assert_eq!((read.machines.len(), &read.machines[0].id), (4, &id));
+    assert_eq!(read.machines[0].yielding.cpus, 6.0);
+}
+
 // A member says what it can do in its own key, which ends with its lease: when
 // its process comes back with the version of before, the key says nothing of it.
 #[test]
