--- a/src/finished.rs
+++ b/crates/model/src/finished.rs
@@ -46,6 +46,11 @@
     pub fn is_empty(&self) -> bool {
         self.count == 0
     }
+    /// The highest that is in.
+    pub fn last(&self) -> Option<u32> {
+        let (index, word) = self.words.iter().enumerate().rfind(|(_, word)| **word != 0)?;
+        Some(index as u32 * 64 + 63 - word.leading_zeros())
+    }
     /// All that are in, in order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.words.iter().enumerate().flat_map(|(w, &bits)| {
--- a/src/wire.rs
+++ b/crates/model/src/wire.rs
@@ -150,6 +150,13 @@
         self.one_zone || self.scatter || self.shape != Shape::Array
     }
 
+    /// Whether the job's own wishes allow a machine of this type, zone and kind.
+    pub fn allowed_on(&self, kind: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.types.as_ref().is_none_or(|types| types.iter().any(|name| &**name == kind))
+            && self.zone.as_ref().is_none_or(|only| &**only == zone)
+    }
+
     /// In how many zones there are machine types that a task fits.
     pub fn zones_that_fit(&self, catalog: &Catalog) -> usize {
         let types = catalog.types.iter().filter(|t| {
--- /dev/null
+++ b/crates/reconcile/src/caution.rs
@@ -0,0 +1,122 @@
+//! What a new leader holds back while machines are in doubt: everything that would
+//! be asked for only because their content, and so their room, is not known yet.
+//!
+//! Each hold is bounded by time. A worker that is asked answers within a moment, so
+//! that two report intervals are enough for all that are alive; what is silent then
+//! is treated as it always is. What gives machines back, or moves work, is never
+//! urgent and waits for a worker's lease, after which nothing can be in doubt.
+
+use crate::doubt::DoubtfulMachines;
+use finchwood_model::clock::Secs;
+use finchwood_model::wire::JobSpec;
+use serde::{Deserialize, Serialize};
+
+/// Something that a leader may do to machines or work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// To rent machines for work without room.
+    Rent,
+    /// To stop lower work for higher.
+    Preempt,
+    /// To return idle machines, and to empty others or move their replicas.
+    Consolidate,
+    /// To delete a silent machine that was not asked in vain.
+    EvictUnasked,
+}
+
+/// Why an action is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HoldReason {
+    /// Not every controller has told what it holds.
+    PartsUnheard,
+    /// Machines that may have the room, or the work, have not answered yet.
+    MachinesInDoubt,
+    /// Its silence may only be that nobody was there to be told anything.
+    OwnAbsence,
+}
+
+/// How long actions are held back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CautionLimits {
+    /// How long machines in doubt are waited for before others are rented or lower
+    /// work is stopped, in seconds.
+    pub answer_s: Secs,
+    /// How long machines are neither returned, emptied nor deleted unasked, in seconds:
+    /// a worker's lease, with its margin.
+    pub lease_s: Secs,
+}
+
+/// Caution after a leader began without knowledge of its own.
+#[derive(Debug, Clone)]
+pub struct Caution {
+    limits: CautionLimits,
+    /// When the leader began to lead anew; none while it goes on from before.
+    since: Option<Secs>,
+}
+
+/// What is known at the moment of a question.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// The present.
+    pub now: Secs,
+    /// Every controller has told what it holds.
+    pub all_joined: bool,
+    /// Machines whose content is not known.
+    pub doubtful: &'a DoubtfulMachines,
+}
+
+impl Caution {
+    /// Caution that has not begun.
+    pub fn new(limits: CautionLimits) -> Caution {
+        Caution { limits, since: None }
+    }
+
+    /// A leader begins without knowledge of its own.
+    pub fn begin(&mut self, now: Secs) {
+        self.since = Some(now);
+    }
+
+    /// A leader goes on with what it knew.
+    pub fn end(&mut self) {
+        self.since = None;
+    }
+
+    /// Whether anything may be held back at all.
+    pub fn is_on(&self, now: Secs) -> bool {
+        self.since.is_some_and(|since| now - since < self.limits.lease_s)
+    }
+
+    /// Whether an action is held back, for `spec` if it is for a job, and why.
+    pub fn hold(&self, action: Action, spec: Option<&JobSpec>, at: Situation) -> Option<HoldReason> {
+        let since = self.since?;
+        let age_s = at.now - since;
+        if age_s >= self.limits.lease_s {
+            return None;
+        }
+        match action {
+            Action::EvictUnasked => Some(HoldReason::OwnAbsence),
+            Action::Consolidate => self.hold_consolidation(age_s, at),
+            Action::Rent | Action::Preempt if age_s >= self.limits.answer_s => None,
+            Action::Rent | Action::Preempt => hold_for_room(spec, at),
+        }
+    }
+
+    fn hold_consolidation(&self, age_s: Secs, at: Situation) -> Option<HoldReason> {
+        if !at.all_joined {
+            return Some(HoldReason::PartsUnheard);
+        }
+        let settling = age_s < self.limits.answer_s;
+        (settling || !at.doubtful.is_empty()).then_some(HoldReason::MachinesInDoubt)
+    }
+}
+
+/// Room is looked for elsewhere only if no machine in doubt may have it.
+fn hold_for_room(spec: Option<&JobSpec>, at: Situation) -> Option<HoldReason> {
+    if !at.all_joined {
+        return Some(HoldReason::PartsUnheard);
+    }
+    let may_have_room = spec.map_or(!at.doubtful.is_empty(), |spec| at.doubtful.may_hold(spec));
+    may_have_room.then_some(HoldReason::MachinesInDoubt)
+}
--- /dev/null
+++ b/crates/reconcile/src/doubt.rs
@@ -0,0 +1,77 @@
+//! Which machines are in doubt, and which jobs wait for that.
+//!
+//! A machine that stays unheard holds up only the jobs that may be on it: those
+//! allowed on its type, in its zone and on its kind. So doubt is served per job and
+//! per class of machines, and never for the fleet as a whole.
+
+use finchwood_model::wire::JobSpec;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Machines that are the same to every job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MachineClass {
+    /// The machine type.
+    pub kind: Arc<str>,
+    /// The zone.
+    pub zone: Arc<str>,
+    /// Whether the cloud may take it back at any time.
+    pub spot: bool,
+}
+
+/// The machines in doubt, by class.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DoubtfulMachines {
+    by_class: BTreeMap<MachineClass, u32>,
+}
+
+impl DoubtfulMachines {
+    /// Whether no machine is in doubt.
+    pub fn is_empty(&self) -> bool {
+        self.by_class.is_empty()
+    }
+
+    /// How many machines are in doubt.
+    pub fn count(&self) -> u32 {
+        self.by_class.values().sum()
+    }
+
+    /// Whether a task of a job may be on a machine in doubt.
+    pub fn may_hold(&self, spec: &JobSpec) -> bool {
+        self.by_class.keys().any(|class| spec.allowed_on(&class.kind, &class.zone, class.spot))
+    }
+}
+
+impl FromIterator<MachineClass> for DoubtfulMachines {
+    fn from_iter<I: IntoIterator<Item = MachineClass>>(classes: I) -> DoubtfulMachines {
+        let mut by_class = BTreeMap::new();
+        for class in classes {
+            *by_class.entry(class).or_default() += 1;
+        }
+        DoubtfulMachines { by_class }
+    }
+}
+
+/// How much is known of where a job's tasks are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobPhase {
+    /// Nothing: it may run anywhere, or nowhere.
+    Awaiting,
+    /// Some tasks were found, others are in doubt.
+    Partly,
+    /// Every task is held by somebody, finished, or proven to be nowhere.
+    Certain,
+}
+
+impl JobPhase {
+    /// The phase of a job with `in_doubt` tasks in doubt and `found` held by somebody.
+    pub fn of(in_doubt: u32, found: usize) -> JobPhase {
+        match (in_doubt, found) {
+            (0, _) => JobPhase::Certain,
+            (_, 0) => JobPhase::Awaiting,
+            _ => JobPhase::Partly,
+        }
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/machine.rs
@@ -0,0 +1,92 @@
+//! What its owner knows of a machine's content: a state and its transitions.
+//!
+//! A new owner can't know what it finds. It asks under its own token, which is
+//! above every earlier owner's: a report that shows this token proves what is there
+//! and that no earlier command can add to it. A worker that is silent proves it by
+//! the length of its lease, as only its owner could have renewed that.
+
+use serde::{Deserialize, Serialize};
+
+/// What is known of the content of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MachineState {
+    /// The roster says that nobody has started anything there: empty.
+    Unused,
+    /// Somebody has used it, and nothing was heard of it yet: in doubt.
+    Unheard,
+    /// It has spoken, but not under its owner's token: what it says may be old, or
+    /// may be added to by an earlier owner's command. In doubt, and being asked.
+    Heard,
+    /// A report under its owner's token has shown what is there.
+    Proven,
+    /// Its worker's lease is past: what it held is nowhere.
+    LeasePast,
+}
+
+/// What its owner learns of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineEvent {
+    /// A report newer than all before.
+    Report {
+        /// No sign of life was seen since its owner came to own it.
+        first_contact: bool,
+        /// The roster says that tasks may have been started there.
+        used: bool,
+        /// It shows its owner's token, or one above it.
+        shows_token: bool,
+    },
+    /// No answer of its owner's can have renewed its lease any more.
+    LeasePast,
+}
+
+/// What follows from an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Transition {
+    /// The state from now on.
+    pub state: MachineState,
+    /// To be asked at once under its owner's token.
+    pub ask: bool,
+}
+
+impl MachineState {
+    /// The state of a machine that has come on the roster, or was taken over with it.
+    pub fn listed(used: bool) -> MachineState {
+        if used {
+            MachineState::Unheard
+        } else {
+            MachineState::Unused
+        }
+    }
+
+    /// Whether its content is known.
+    pub fn is_certain(self) -> bool {
+        match self {
+            MachineState::Unused | MachineState::Proven | MachineState::LeasePast => true,
+            MachineState::Unheard | MachineState::Heard => false,
+        }
+    }
+
+    /// The state after an event.
+    pub fn after(self, event: MachineEvent) -> Transition {
+        match event {
+            MachineEvent::LeasePast => Transition { state: MachineState::LeasePast, ask: false },
+            MachineEvent::Report { first_contact, used, shows_token } => {
+                self.after_report(first_contact, used, shows_token)
+            }
+        }
+    }
+
+    fn after_report(self, first_contact: bool, used: bool, shows_token: bool) -> Transition {
+        if shows_token {
+            return Transition { state: MachineState::Proven, ask: false };
+        }
+        // Guard: one thought to be past its lease has spoken after all. Whatever it
+        // says may be old until it has seen the token.
+        let surprising = first_contact && used;
+        if self.is_certain() && !surprising {
+            return Transition { state: self, ask: false };
+        }
+        Transition { state: MachineState::Heard, ask: true }
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/record.rs
@@ -0,0 +1,242 @@
+//! The record of a restart: what was found, what became of it and why.
+//!
+//! A controller keeps one record for the time since it last began to own machines
+//! without knowledge of its own. Views of it are handed out while it grows, so that
+//! the entries are a persistent queue: a view costs a few counters, however many
+//! entries there are.
+
+use crate::caution::{Action, HoldReason};
+use crate::machine::MachineState;
+use crate::verdict::{StopReason, Verdict};
+use finchwood_model::clock::Secs;
+use finchwood_model::wire::MachineId;
+use rpds::QueueSync;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What a controller brought with it into the epoch in which the record begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arrival {
+    /// No epoch has been entered yet.
+    NotYet,
+    /// Nothing: the process, or its incarnation, is new.
+    Fresh,
+    /// All that it knew in the epoch before; the record goes on.
+    Kept,
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Seconds since the record began.
+    pub at_s: f64,
+    /// The task, as `job/index`.
+    pub task: String,
+    /// The attempt that was reported.
+    pub attempt: u64,
+    /// The machine that reported it.
+    pub machine: MachineId,
+    /// Its worker's session.
+    pub session: u64,
+    /// What became of it.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+}
+
+/// How often a verdict was given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VerdictCount {
+    /// The verdict, with its reason.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// How often.
+    pub count: u64,
+}
+
+/// How often an action was held back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldCount {
+    /// What was held back.
+    pub action: Action,
+    /// Why.
+    pub reason: HoldReason,
+    /// How often.
+    pub count: u64,
+}
+
+/// How many machines are in a state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineCount {
+    /// The state.
+    pub state: MachineState,
+    /// How many.
+    pub count: u32,
+}
+
+/// Why a task was ordered to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StopCause {
+    /// Its job is over or cancelled, or the task is.
+    Over,
+    /// The leader has asked for it back.
+    Recalled,
+    /// It makes room for work of a higher rank.
+    Preempted,
+    /// Its machine will be taken away.
+    Notice,
+    /// Its owner holds another start of it, or none.
+    NotHeld,
+}
+
+impl From<StopReason> for StopCause {
+    fn from(reason: StopReason) -> StopCause {
+        match reason {
+            StopReason::HeldElsewhere => StopCause::NotHeld,
+            StopReason::JobCancelled | StopReason::JobDone | StopReason::TaskFinished => StopCause::Over,
+        }
+    }
+}
+
+/// Commands that were given, repetitions included.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCounts {
+    /// Direct commands without any call: questions.
+    pub questions: u64,
+    /// Starts.
+    pub starts: u64,
+    /// Stops, by cause.
+    pub stops: BTreeMap<StopCause, u64>,
+    /// Reaps.
+    pub reaps: u64,
+}
+
+/// The record as it grows.
+#[derive(Debug, Clone)]
+pub struct RestartRecord {
+    most_entries: usize,
+    arrival: Arrival,
+    epoch: u64,
+    began: Secs,
+    /// When no machine was in doubt for the first time.
+    certain_at: Option<Secs>,
+    verdicts: BTreeMap<Verdict, u64>,
+    holds: BTreeMap<(Action, HoldReason), u64>,
+    entries: QueueSync<Entry>,
+    left_out: u64,
+    /// Commands given since the record began.
+    pub orders: OrderCounts,
+}
+
+/// What the record says at a moment, for whoever asks.
+#[derive(Debug, Clone, Serialize)]
+pub struct RecordView {
+    /// What the controller brought with it.
+    pub arrival: Arrival,
+    /// The present epoch; 0 before the first.
+    pub epoch: u64,
+    /// How long ago the record began, in seconds.
+    pub age_s: f64,
+    /// After how many seconds no machine was in doubt; none while some are.
+    pub certain_after_s: Option<f64>,
+    /// The machines by what is known of them.
+    pub machines: Vec<MachineCount>,
+    /// Verdicts on what machines showed first.
+    pub verdicts: Vec<VerdictCount>,
+    /// What was held back, by reason.
+    pub holds: Vec<HoldCount>,
+    /// Commands given.
+    pub orders: OrderCounts,
+    /// The latest decisions, the oldest first.
+    pub entries: QueueSync<Entry>,
+    /// Earlier decisions that are no longer kept.
+    pub entries_left_out: u64,
+}
+
+impl RestartRecord {
+    /// An empty record that keeps the latest `most_entries` decisions.
+    pub fn new(most_entries: usize) -> RestartRecord {
+        RestartRecord {
+            most_entries,
+            arrival: Arrival::NotYet,
+            epoch: 0,
+            began: 0.0,
+            certain_at: None,
+            verdicts: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            entries: QueueSync::new_sync(),
+            left_out: 0,
+            orders: OrderCounts::default(),
+        }
+    }
+
+    /// An epoch is entered, with all knowledge of the one before or with none.
+    pub fn enter(&mut self, epoch: u64, kept: bool, now: Secs) {
+        if !kept {
+            *self = RestartRecord::new(self.most_entries);
+            self.began = now;
+        }
+        self.arrival = if kept { Arrival::Kept } else { Arrival::Fresh };
+        self.epoch = epoch;
+    }
+
+    /// A task was judged for the first time on its machine, or contradicts what is
+    /// known.
+    pub fn note(&mut self, entry: Entry) {
+        *self.verdicts.entry(entry.verdict).or_default() += 1;
+        if self.most_entries == 0 {
+            self.left_out += 1;
+            return;
+        }
+        if self.entries.len() >= self.most_entries {
+            self.entries.dequeue_mut();
+            self.left_out += 1;
+        }
+        self.entries.enqueue_mut(entry);
+    }
+
+    /// Seconds since the record began.
+    pub fn age_s(&self, now: Secs) -> f64 {
+        now - self.began
+    }
+
+    /// An action was held back.
+    pub fn note_hold(&mut self, action: Action, reason: HoldReason) {
+        *self.holds.entry((action, reason)).or_default() += 1;
+    }
+
+    /// How many machines are in doubt now.
+    pub fn note_doubt(&mut self, in_doubt: usize, now: Secs) {
+        if in_doubt == 0 && self.arrival != Arrival::NotYet {
+            self.certain_at.get_or_insert(now);
+        }
+    }
+
+    /// How often a verdict was given.
+    pub fn count(&self, verdict: Verdict) -> u64 {
+        self.verdicts.get(&verdict).copied().unwrap_or(0)
+    }
+
+    /// What the record says now; `machines` are those of the controller.
+    pub fn view(&self, machines: impl Iterator<Item = MachineState>, now: Secs) -> RecordView {
+        let mut by_state: BTreeMap<MachineState, u32> = BTreeMap::new();
+        for state in machines {
+            *by_state.entry(state).or_default() += 1;
+        }
+        let verdicts = self.verdicts.iter().map(|(&verdict, &count)| VerdictCount { verdict, count });
+        let holds = self.holds.iter().map(|(&(action, reason), &count)| HoldCount { action, reason, count });
+        RecordView {
+            arrival: self.arrival,
+            epoch: self.epoch,
+            age_s: self.age_s(now),
+            certain_after_s: self.certain_at.map(|at| at - self.began),
+            machines: by_state.into_iter().map(|(state, count)| MachineCount { state, count }).collect(),
+            verdicts: verdicts.collect(),
+            holds: holds.collect(),
+            orders: self.orders.clone(),
+            entries: self.entries.clone(),
+            entries_left_out: self.left_out,
+        }
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/verdict.rs
@@ -0,0 +1,195 @@
+//! What becomes of a task that a worker reports, and why.
+
+use crate::stored::StoredTask;
+use finchwood_model::token::attempt_epoch;
+use finchwood_model::wire::{cause, TaskState};
+use serde::{Deserialize, Serialize};
+
+/// A line of a worker's report, as far as it matters here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedTask {
+    /// The attempt that it runs or ran under.
+    pub attempt: u64,
+    /// Whether and how it has ended; none while it is on its machine.
+    pub ended: Option<Ending>,
+}
+
+/// How a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Completed: the worker keeps the result.
+    Done,
+    /// Stopped, failed, refused, or something that this version doesn't know.
+    Other,
+}
+
+impl ReportedTask {
+    /// Reads a line's state and cause.
+    pub fn new(attempt: u64, state: TaskState, why: Option<&str>) -> ReportedTask {
+        let ended = match (state, why) {
+            (TaskState::Ended, Some(cause::DONE)) => Some(Ending::Done),
+            (TaskState::Ended, _) => Some(Ending::Other),
+            _ => None,
+        };
+        ReportedTask { attempt, ended }
+    }
+}
+
+/// What the machine's owner holds of the same task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holding {
+    /// Nothing.
+    Nothing,
+    /// This attempt, on this machine.
+    Same,
+    /// It was assigned and has no machine yet.
+    Planned,
+    /// It is on another machine, or under another attempt on this one.
+    Elsewhere,
+}
+
+/// What becomes of a reported task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "verdict", content = "reason")]
+pub enum Verdict {
+    /// It is where its owner knows it to be.
+    Known,
+    /// It is held as running from now on; no order is given.
+    Adopt(AdoptReason),
+    /// Its end is held and reported until it is committed.
+    RecordFinished,
+    /// It is held until it has stopped, and told to stop.
+    Stop(StopReason),
+    /// Its worker may forget it.
+    Reap(ReapReason),
+    /// It is left alone: nothing says what should become of it.
+    LeaveInDoubt(DoubtReason),
+    /// It contradicts what its owner holds.
+    Conflict(ConflictReason),
+}
+
+/// Why a task is adopted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AdoptReason {
+    /// It runs, its job wants it, and nobody else holds it.
+    Runs,
+    /// It was planned for some machine, and is found to be here already.
+    FoundWhilePlanned,
+    /// The same as `Runs`, but its attempt is of an epoch that has not begun.
+    AttemptOfLaterEpoch,
+}
+
+/// Why a task is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StopReason {
+    /// Its job is cancelled.
+    JobCancelled,
+    /// Its job is done.
+    JobDone,
+    /// It is committed as finished.
+    TaskFinished,
+    /// Its owner holds another start of it.
+    HeldElsewhere,
+}
+
+/// Why a worker may forget a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReapReason {
+    /// Its end is committed, or nobody needs it.
+    EndCommitted,
+    /// It ended without a result.
+    NothingToKeep,
+}
+
+/// Why a task is left alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DoubtReason {
+    /// No record of its job is known.
+    UnknownJob,
+    /// Its job has fewer tasks.
+    NoSuchTask,
+}
+
+/// How a task contradicts what its owner holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConflictReason {
+    /// It runs here, and another start of it is held.
+    RunsTwice,
+    /// It has completed here while another start of it is held: the result is kept.
+    CompletedElsewhere,
+}
+
+/// Judges a reported task by what its owner holds and what is stored of it;
+/// `epoch` is the owner's.
+pub fn judge(reported: ReportedTask, holding: Holding, stored: StoredTask, epoch: u64) -> Verdict {
+    match (holding, reported.ended) {
+        (Holding::Same, _) => Verdict::Known,
+        (Holding::Planned, None | Some(Ending::Done)) => Verdict::Adopt(AdoptReason::FoundWhilePlanned),
+        (Holding::Elsewhere, None) => Verdict::Conflict(ConflictReason::RunsTwice),
+        (Holding::Elsewhere, Some(Ending::Done)) if !stored.needs_no_run() => {
+            Verdict::Conflict(ConflictReason::CompletedElsewhere)
+        }
+        (Holding::Nothing, None) => judge_running(reported.attempt, stored, epoch),
+        (Holding::Nothing, Some(Ending::Done)) if !stored.needs_no_run() => judge_completed(stored),
+        (_, Some(ending)) => Verdict::Reap(reap_reason(ending)),
+    }
+}
+
+/// A task that runs and that nobody holds.
+fn judge_running(attempt: u64, stored: StoredTask, epoch: u64) -> Verdict {
+    match stored {
+        StoredTask::JobCancelled => Verdict::Stop(StopReason::JobCancelled),
+        StoredTask::JobDone => Verdict::Stop(StopReason::JobDone),
+        StoredTask::Finished => Verdict::Stop(StopReason::TaskFinished),
+        StoredTask::UnknownJob => Verdict::LeaveInDoubt(DoubtReason::UnknownJob),
+        StoredTask::NoSuchTask => Verdict::LeaveInDoubt(DoubtReason::NoSuchTask),
+        StoredTask::Unfinished if attempt_epoch(attempt) > epoch => {
+            Verdict::Adopt(AdoptReason::AttemptOfLaterEpoch)
+        }
+        StoredTask::Unfinished => Verdict::Adopt(AdoptReason::Runs),
+    }
+}
+
+/// A task that has completed, that nobody holds and whose end is not committed.
+fn judge_completed(stored: StoredTask) -> Verdict {
+    match stored {
+        StoredTask::UnknownJob => Verdict::LeaveInDoubt(DoubtReason::UnknownJob),
+        StoredTask::NoSuchTask => Verdict::LeaveInDoubt(DoubtReason::NoSuchTask),
+        _ => Verdict::RecordFinished,
+    }
+}
+
+fn reap_reason(ending: Ending) -> ReapReason {
+    match ending {
+        Ending::Done => ReapReason::EndCommitted,
+        Ending::Other => ReapReason::NothingToKeep,
+    }
+}
+
+/// Whether a worker may forget a task now. A result is kept until it is committed,
+/// whoever holds what; the rest until its owner has let go of it.
+pub fn may_reap(reported: ReportedTask, holding: Holding, stored: StoredTask) -> Option<ReapReason> {
+    match reported.ended? {
+        Ending::Done if stored.needs_no_run() => Some(ReapReason::EndCommitted),
+        Ending::Other if holding != Holding::Same => Some(ReapReason::NothingToKeep),
+        Ending::Done | Ending::Other => None,
+    }
+}
+
+/// Whether a task has to be stopped because its owner does not hold it here.
+pub fn must_stop(reported: ReportedTask, holding: Holding) -> Option<StopReason> {
+    let here = reported.ended.is_none();
+    (here && holding != Holding::Same).then_some(StopReason::HeldElsewhere)
+}
+
+/// Whether an attempt counts as the highest seen of its task, so that a late copy of an
+/// assignment with a lower one does nothing. Guard: one of an epoch that has not begun
+/// would block every later start.
+pub fn attempt_counts(attempt: u64, epoch: u64) -> bool {
+    attempt_epoch(attempt) <= epoch
+}
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -21,13 +21,15 @@
 pub use urgency::Aims;
 
 use crate::capacity::Names;
-use crate::clock::Secs;
+use crate::clock::{self, Secs};
 use crate::finished::Bits;
 use crate::fleet::Phase;
 use crate::jobs::{Epoch, Mirror};
 use crate::rent::Want;
 use crate::settings::{Settings, Team};
 use crate::wire::{JobId, JobSpec, MachineId, Shape};
+use finchwood_reconcile::doubt::JobPhase;
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -103,6 +105,21 @@
     }
 }
 
+/// How far a leader that began without knowledge has found out where tasks are.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct RestartProgress {
+    /// Every member has told what it holds.
+    pub all_joined: bool,
+    /// Nothing is in doubt any more.
+    pub resolved: bool,
+    /// Unfinished jobs, by what is known of their tasks.
+    pub jobs: BTreeMap<JobPhase, u32>,
+    /// Tasks that nobody has proven to be anywhere, or nowhere.
+    pub tasks_in_doubt: u32,
+    /// Machines whose content is not known.
+    pub machines_in_doubt: u32,
+}
+
 /// The leader's table.
 #[derive(Debug)]
 pub struct Leader {
@@ -125,6 +142,11 @@
     report_s: Secs,
     gang_wait_s: Secs,
     gangs_allowed: bool,
+    /// When the first report of this epoch came, and the latest of all.
+    first_report_at: Option<Secs>,
+    latest_at: Secs,
+    /// After how long whatever an earlier owner renewed is over.
+    takeover_s: Secs,
     /// Machines that take no more tasks.
     pub drain: BTreeSet<MachineId>,
     /// Jobs with tasks that failed on each machine.
@@ -133,6 +155,8 @@
     faulty: BTreeSet<MachineId>,
     /// CPUs on ordinary machines that are kept free for services to come.
     pub reserve: f64,
+    /// Nothing is stopped to make room: machines in doubt may have it.
+    pub preemption_held: bool,
     /// Machines whose replicas are to move to others.
     pub moving: BTreeSet<MachineId>,
     /// What could not be assigned in the last round, for renting.
@@ -163,11 +187,16 @@
             report_s: settings.params.workers.report_s,
             gang_wait_s: settings.params.workers.gang_wait_s,
             gangs_allowed: true,
+            first_report_at: None,
+            latest_at: 0.0,
+            takeover_s: clock::with_drift_margin(settings.params.workers.lease_s)
+                + clock::with_drift_margin(settings.member_life_s()),
             drain: BTreeSet::new(),
             moving: BTreeSet::new(),
             failed_on: failures::FailedOn::new(),
             faulty: BTreeSet::new(),
             reserve: 0.0,
+            preemption_held: false,
             wants: Vec::new(),
             borrowing: Vec::new(),
             cursor: None,
@@ -176,7 +205,8 @@
 
     /// Enters an epoch as its leader. The table is kept if this incarnation
     /// led the one just before; what was assigned is unknown until it is seen.
-    pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror) {
+    /// Says whether it is.
+    pub fn enter(&mut self, e: &Epoch, inc: u64, mirror: &Mirror) -> bool {
         let stays = self.inc == inc && self.epoch + 1 == e.n;
         if !stays {
             self.jobs.clear();
@@ -197,6 +227,7 @@
         self.members = e.members.clone();
         self.parts.clear();
         self.joined.clear();
+        self.first_report_at = None;
         self.resolved = false;
         self.attempts = 0;
         for job in self.jobs.values_mut() {
@@ -218,6 +249,24 @@
         for id in ids {
             self.job_changed(&id, mirror);
         }
+        stays
+    }
+
+    /// How far what was in doubt has been found out.
+    pub fn restart_progress(&self, mirror: &Mirror, gone: &dyn Fn(&MachineId) -> bool) -> RestartProgress {
+        let mut progress = RestartProgress {
+            all_joined: self.all_joined(),
+            resolved: self.resolved,
+            machines_in_doubt: self.doubtful_machines(mirror, gone).count(),
+            ..RestartProgress::default()
+        };
+        for entry in self.jobs.values() {
+            let in_doubt = entry.unknown.len();
+            progress.tasks_in_doubt += in_doubt;
+            let phase = JobPhase::of(in_doubt, entry.assigned.len());
+            *progress.jobs.entry(phase).or_default() += 1;
+        }
+        progress
     }
 
     /// A job is new or has changed in the mirror.
--- a/src/assignment/reports.rs
+++ b/src/assignment/reports.rs
@@ -2,14 +2,14 @@
 
 use super::finishes::wanted;
 use super::{AssignedTask, Leader, MachineNews, PartView};
-use crate::best_fit;
 use crate::capacity::Slot;
 use crate::clock::Secs;
 use crate::finished::Bits;
 use crate::fleet::{Gone, HeldView, Leave, MachineView, PartReport, Phase};
 use crate::jobs::Mirror;
 use crate::wire::{JobId, MachineId, Shape, Task};
-use std::collections::{BTreeSet, HashSet};
+use finchwood_reconcile::doubt::{DoubtfulMachines, MachineClass};
+use std::collections::HashSet;
 use std::sync::Arc;
 
 /// Tasks that a report lists.
@@ -24,6 +24,8 @@
             return false;
         }
         self.news = true;
+        self.latest_at = now;
+        self.first_report_at.get_or_insert(now);
         self.joined.insert(r.node.clone());
         let part: Arc<str> = r.node.as_str().into();
         let whole = r.since == 0;
@@ -99,6 +101,10 @@
     fn take_in_held(&mut self, part: &Arc<str>, held: HeldView, mirror: &Mirror) {
         let index = held.task.index;
         let Some(entry) = self.jobs.get_mut(&held.task.job) else { return };
+        // Guard: a task that the job doesn't have would count towards its end.
+        if index >= entry.spec.tasks {
+            return;
+        }
         if held.phase == Phase::Done && wanted(mirror, &held.task) {
             // The tasks of a gang complete together: if one is done, all are,
             // also those that are lost since.
@@ -214,6 +220,30 @@
         })
     }
 
+    /// The machines in doubt: those of the roster, and those that report although the
+    /// roster lacks them.
+    pub fn doubtful_machines(&self, mirror: &Mirror, gone: &dyn Fn(&MachineId) -> bool) -> DoubtfulMachines {
+        let rostered = self.uncertain(mirror, gone).filter_map(|id| mirror.roster.get(id));
+        let rostered = rostered.map(|(record, _)| MachineClass {
+            kind: record.kind.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+        });
+        let unlisted = self
+            .machines()
+            .filter(|m| m.heard && !m.certain && !mirror.roster.contains_key(&m.id) && !gone(&m.id));
+        let unlisted =
+            unlisted.map(|m| MachineClass { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot });
+        rostered.chain(unlisted).collect()
+    }
+
+    /// Whether machines that no readable page of the roster names may hold tasks. Such
+    /// a machine reports to its owner within its worker's lease, or that is past.
+    fn may_be_on_unlisted_machines(&self, mirror: &Mirror) -> bool {
+        let Some(first_report_at) = self.first_report_at else { return true };
+        mirror.unreadable.any_roster_page() && self.latest_at - first_report_at < self.takeover_s
+    }
+
     /// Whether every member has sent its holdings in this epoch.
     pub fn all_joined(&self) -> bool {
         self.members.keys().all(|m| self.joined.contains(m))
@@ -235,16 +265,13 @@
             return;
         }
         self.news = false;
-        let in_doubt: BTreeSet<(Arc<str>, Arc<str>, bool)> = self
-            .uncertain(mirror, gone)
-            .filter_map(|id| mirror.roster.get(id))
-            .map(|(r, _)| (r.kind.clone(), r.zone.clone(), r.spot))
-            .collect();
-        self.resolved = in_doubt.is_empty();
+        if self.may_be_on_unlisted_machines(mirror) {
+            return;
+        }
+        let doubtful = self.doubtful_machines(mirror, gone);
+        self.resolved = doubtful.is_empty();
         for entry in self.jobs.values_mut().filter(|e| !e.unknown.is_empty()) {
-            let may =
-                in_doubt.iter().any(|(kind, zone, spot)| best_fit::allowed(&entry.spec, kind, zone, *spot));
-            if !may {
+            if !doubtful.may_hold(&entry.spec) {
                 entry.unknown = Bits::default();
             }
         }
--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -10,6 +10,7 @@
 use crate::jobs::{Job, Mirror};
 use crate::rent::Want;
 use crate::wire::{JobId, Rank, Res, Shape, BEGIN_WITHIN_S};
+use finchwood_model::token;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -201,6 +202,7 @@
     fn preempts(&self, e: &JobEntry, day_ms: u64) -> Preempts {
         let waited_s = day_ms.saturating_sub(e.at_ms) as f64 / 1000.0;
         match e.spec.rank {
+            _ if self.preemption_held => Preempts::Nothing,
             Rank::Prod => Preempts::AllLowerWork,
             Rank::Urgent | Rank::Standard
                 if !e.spec.whole() && waited_s > self.report_s * PREEMPTS_AFTER_REPORTS =>
@@ -281,7 +283,7 @@
     /// Gives a task to a part, under an attempt of its own or that of its gang.
     fn assign_task(&mut self, id: &JobId, index: u32, part: &Arc<str>, now: Secs) {
         self.attempts += 1;
-        let assignment = (self.epoch << ATTEMPT_BITS) | self.attempts;
+        let assignment = token::attempt(self.epoch, self.attempts);
         let Some(e) = self.jobs.get_mut(id) else { return };
         let attempt = match e.spec.shape {
             Shape::Gang => e.gang_attempt(assignment, now),
@@ -303,9 +305,6 @@
 /// for it: often some comes free by itself.
 const PREEMPTS_AFTER_REPORTS: f64 = 2.0;
 
-/// Bits of an attempt that count within an epoch: no leader uses a number twice.
-const ATTEMPT_BITS: u32 = 24;
-
 /// What one round of assignment works with.
 struct Round<'a> {
     mirror: &'a Mirror,
--- a/src/best_fit.rs
+++ b/src/best_fit.rs
@@ -29,13 +29,6 @@
     }
 }
 
-/// Whether the job's own wishes allow a machine of this type, zone and kind.
-pub fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
-    (spec.spot || !spot)
-        && spec.types.as_ref().is_none_or(|t| t.iter().any(|x| &**x == kind))
-        && spec.zone.as_ref().is_none_or(|z| &**z == zone)
-}
-
 /// HIOBS' fragmentation cost: what is left of the resource that counts.
 pub fn cost(free: &Res, ask: &Res) -> f64 {
     if ask.gpus > 0.0 {
@@ -66,7 +59,7 @@
     machines: impl Iterator<Item = Candidate<'a>>,
 ) -> Option<Candidate<'a>> {
     let ask = spec.ask();
-    machines.filter(|m| allowed(spec, m.kind, m.zone, m.spot) && m.free.fits(&ask)).min_by_key(|m| {
+    machines.filter(|m| spec.allowed_on(m.kind, m.zone, m.spot) && m.free.fits(&ask)).min_by_key(|m| {
         (
             quick && !m.cached,
             spec.spot && !m.spot,
--- a/src/controller/mirror_feed.rs
+++ b/src/controller/mirror_feed.rs
@@ -13,6 +13,7 @@
             Feed::Loaded { began, ring, entries } => {
                 tracing::info!(ring, keys = entries.len(), "read the whole state");
                 self.mirror.load(entries);
+                self.report_misfits();
                 self.fresh_at = Some(began);
                 self.state_down = false;
                 self.epoch_changed(now);
@@ -105,7 +106,8 @@
             });
         }
         if epoch.leader == self.settings.node_name {
-            self.leader.enter(&epoch, self.inc, &self.mirror);
+            let kept = self.leader.enter(&epoch, self.inc, &self.mirror);
+            self.began_to_lead(kept, now);
             self.renting.lead(now);
             self.roster.lead();
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -9,6 +9,7 @@
 mod mirror_feed;
 mod peers;
 mod renting;
+mod restart;
 mod roster;
 mod users;
 mod worker_reports;
@@ -24,13 +25,16 @@
 use crate::peer::{CalledOff, Message, Peers};
 use crate::policy::Policy;
 use crate::reachability::Reachability;
+use crate::restart_report::Published;
 use crate::settings::Settings;
 use crate::state::{self, Budget, Feed, Outcome, Writer};
 use crate::wire::{JobId, MachineId};
+use crate::with::Parts;
 use commits::FinishesInFlight;
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use leading::LeaderPace;
 use renting::Renting;
+use restart::Restart;
 use roster::Roster;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -90,6 +94,8 @@
     lease_until: Secs,
     part: Part,
     leader: Leader,
+    /// Caution and the record of a restart, if they are switched on.
+    restart: Option<Restart>,
     users: Users,
     renting: Renting,
     pace: LeaderPace,
@@ -124,23 +130,31 @@
 }
 
 /// Starts a controller; returns only if it can't run.
-pub fn run(settings: Settings, policy: Policy) -> Result<(), String> {
+pub fn run(settings: Settings, policy: Policy, parts: &Parts) -> Result<(), String> {
+    let published = Published::new(parts.cold_restart.is_some());
     let (tx, rx) = bounded::<Msg>(8192);
     for back in [false, true] {
-        let tx = tx.clone();
-        http::listen(&settings, back, move |ask, reply| {
+        let (tx, published) = (tx.clone(), published.clone());
+        http::listen(&settings, back, move |ask, reply| match ask {
+            Ask::RestartReport => published.answer(reply),
             // A full queue drops the reply, which then says 503.
-            let _ = tx.try_send(Msg::Ask(ask, reply));
+            ask => drop(tx.try_send(Msg::Ask(ask, reply))),
         })
         .map_err(|e| format!("cannot listen: {e}"))?;
     }
-    let mut c = Controller::start(settings, policy, &tx);
+    let mut c = Controller::start(settings, policy, parts, published, &tx);
     c.work_forever(&rx);
     Ok(())
 }
 
 impl Controller {
-    fn start(settings: Settings, policy: Policy, tx: &Sender<Msg>) -> Controller {
+    fn start(
+        settings: Settings,
+        policy: Policy,
+        parts: &Parts,
+        published: Published,
+        tx: &Sender<Msg>,
+    ) -> Controller {
         let budget = Budget::new(&settings);
         let (kicks, kicked) = bounded(1);
         let to = tx.clone();
@@ -170,8 +184,14 @@
             member_life_s: settings.member_life_s(),
         };
         let others = settings.members.iter().map(|m| (m.node_name.clone(), m.zone.clone())).collect();
+        let mut part = Part::new(&settings.node_name, timing, settings.start_aims());
+        let restart = parts.cold_restart.as_ref().map(|with| Restart::new(with, &settings, published));
+        if let Some(with) = &parts.cold_restart {
+            part.keep_record(with.entries);
+        }
         Controller {
-            part: Part::new(&settings.node_name, timing, settings.start_aims()),
+            part,
+            restart,
             leader: Leader::new(&settings),
             mirror: Mirror::new(settings.params.state.value_kb),
             peers: Peers::start(&settings, {
@@ -302,6 +322,8 @@
                 reply.send(200, Vec::new());
                 self.peer(*envelope, now);
             }
+            // Answered by the listener, from what was published last.
+            Ask::RestartReport => reply.later(503, 1, "no report yet"),
         }
     }
 
@@ -335,6 +357,7 @@
             }
             self.tell_leader(now);
         }
+        self.publish_restart(now);
         if now - self.tidied > self.settings.params.workers.report_s {
             self.tidied = now;
             self.part.forget_what_is_over(&self.mirror, now);
--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -9,6 +9,7 @@
 use crate::rent::{self, BootProgress, Booting, InUse, Offer, Want, LEAST_CHARGE_S};
 use crate::settings::Workers;
 use crate::wire::{Catalog, MachineId, RentRequest, Shape};
+use finchwood_reconcile::caution::Action;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -147,8 +148,10 @@
 #[derive(Default)]
 struct Up {
     in_use: Vec<InUse>,
-    /// To be deleted: dead, faulty or emptied.
+    /// To be deleted: dead.
     delete: Vec<MachineId>,
+    /// To be deleted: faulty or emptied.
+    emptied: Vec<MachineId>,
     /// CPUs on ordinary machines that are free for services, or soon will be.
     free_ordinary: f64,
 }
@@ -162,19 +165,30 @@
         let signs = self.signs(now);
         let detector = FailureDetector::new(report_s, lease_s, signs.values());
         let not_up = self.machines_not_up(&catalog, &detector, now);
-        let up = self.machines_up(&catalog, &detector, &signs, now);
+        let doubt = self.doubt(now);
+        self.leader.preemption_held = self.holds(Action::Preempt, None, doubt.as_ref(), now);
+        let consolidates = !self.holds(Action::Consolidate, None, doubt.as_ref(), now);
+        let evicts_unasked = !self.holds(Action::EvictUnasked, None, doubt.as_ref(), now);
+        let mut up = self.machines_up(&catalog, &detector, &signs, evicts_unasked, now);
+        if !consolidates {
+            up.emptied.clear();
+        }
         let mut delete = not_up.never;
         delete.extend(up.delete);
+        delete.extend(up.emptied);
         delete.extend(self.machines_not_rid_of_cancelled_tasks());
         self.delete(delete, now);
         let spare = self.leader.service_cpus() * self.policy.knobs.spare_share;
         self.leader.reserve = spare;
-        self.empty_machines(&up.in_use, &catalog, spare, now);
+        if consolidates {
+            self.empty_machines(&up.in_use, &catalog, spare, now);
+        }
         let early = now - self.renting.rented_at < report_s / 3.0;
         if early || self.cloud_is_behind() || !self.leader.all_joined() {
             return;
         }
-        let wants = self.wants(spare - up.free_ordinary);
+        let mut wants = self.wants(spare - up.free_ordinary);
+        wants.retain(|want| !self.holds(Action::Rent, Some(&want.spec), doubt.as_ref(), now));
         if wants.is_empty() {
             return;
         }
@@ -248,17 +262,18 @@
         catalog: &Catalog,
         detector: &FailureDetector,
         signs: &HashMap<MachineId, MachineHealth>,
+        evicts_unasked: bool,
         now: Secs,
     ) -> Up {
         let faults = self.leader.close_faulty(&self.mirror);
         let day_ms = clock::day_ms();
         let mut out = Up::default();
-        let mut emptied = Vec::new();
         for m in self.leader.machines_at(now) {
             let Some(sign) = signs.get(&m.id).filter(|_| !self.renting.deleted.contains_key(&m.id)) else {
                 continue;
             };
             match detector.verdict(sign) {
+                Verdict::Replace if !evicts_unasked && sign.is_only_silent() => continue,
                 Verdict::Replace => {
                     tracing::debug!(id = %m.id, ?sign, "replaced");
                     out.delete.push(m.id.clone());
@@ -273,7 +288,7 @@
             let proven_faulty = faults.get(&m.id) == Some(&MachineFault::Proven);
             // Guard: one that is closed for a while on suspicion is not returned.
             if m.tasks == 0 && (proven_faulty || m.draining && m.certain && draining) {
-                emptied.push(m.id.clone());
+                out.emptied.push(m.id.clone());
             }
             if !m.spot && m.open {
                 // Of lower work there, half ends while a machine boots.
@@ -292,7 +307,6 @@
                 stays_cpus: catalog.get(&m.kind).map_or(0.0, |t| t.cpus - yields_cpus).max(0.0),
             });
         }
-        out.delete.extend(emptied);
         out
     }
 
--- /dev/null
+++ b/src/controller/restart.rs
@@ -0,0 +1,125 @@
+//! Caution after a restart, and its report, where the part `cold-restart` is switched
+//! on.
+
+use super::Controller;
+use crate::clock::{self, Secs};
+use crate::restart_report::{Published, RecordLeftAlone, RestartReport};
+use crate::settings::Settings;
+use crate::stored_check::misfit_records;
+use crate::wire::JobSpec;
+use crate::with::ColdRestart;
+use finchwood_reconcile::caution::{Action, Caution, CautionLimits, Situation};
+use finchwood_reconcile::doubt::DoubtfulMachines;
+
+/// The share of a report interval after which the report is published anew.
+const PUBLISH_SHARE: f64 = 1.0 / 6.0;
+
+/// The most records left alone that a report names.
+const MOST_RECORDS_NAMED: usize = 100;
+
+/// What the part `cold-restart` keeps.
+pub(super) struct Restart {
+    caution: Caution,
+    published: Published,
+    published_at: Secs,
+    /// The first job was accepted so long after the start of the process.
+    first_accepted_s: Option<Secs>,
+}
+
+impl Restart {
+    pub(super) fn new(with: &ColdRestart, settings: &Settings, published: Published) -> Restart {
+        let workers = &settings.params.workers;
+        let limits = CautionLimits {
+            answer_s: workers.report_s * with.answer_reports,
+            lease_s: clock::with_drift_margin(workers.lease_s),
+        };
+        Restart { caution: Caution::new(limits), published, published_at: f64::MIN, first_accepted_s: None }
+    }
+}
+
+impl Controller {
+    /// This node leads from now on, with what it knew before or with nothing.
+    pub(super) fn began_to_lead(&mut self, kept: bool, now: Secs) {
+        if let Some(restart) = self.restart.as_mut().filter(|_| !kept) {
+            restart.caution.begin(now);
+        }
+    }
+
+    /// The machines in doubt, if caution may rest on them now.
+    pub(super) fn doubt(&self, now: Secs) -> Option<DoubtfulMachines> {
+        let restart = self.restart.as_ref()?;
+        let deleted = &self.renting.deleted;
+        let doubtful = || self.leader.doubtful_machines(&self.mirror, &|id| deleted.contains_key(id));
+        restart.caution.is_on(now).then(doubtful)
+    }
+
+    /// Whether an action is held back while machines are in doubt; counted, if so.
+    pub(super) fn holds(
+        &mut self,
+        action: Action,
+        spec: Option<&JobSpec>,
+        doubt: Option<&DoubtfulMachines>,
+        now: Secs,
+    ) -> bool {
+        let (Some(restart), Some(doubtful)) = (&self.restart, doubt) else { return false };
+        let situation = Situation { now, all_joined: self.leader.all_joined(), doubtful };
+        match restart.caution.hold(action, spec, situation) {
+            Some(reason) => {
+                self.part.note_hold(action, reason);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A job was accepted here.
+    pub(super) fn note_accepted(&mut self, now: Secs) {
+        if let Some(restart) = &mut self.restart {
+            restart.first_accepted_s.get_or_insert(now - self.began);
+        }
+    }
+
+    /// Logs stored records that name what nobody knows.
+    pub(super) fn report_misfits(&self) {
+        for misfit in misfit_records(&self.mirror, &self.settings) {
+            tracing::warn!(key = misfit.key, why = %misfit.why, "a stored record doesn't fit");
+        }
+    }
+
+    /// Publishes the report, now and then.
+    pub(super) fn publish_restart(&mut self, now: Secs) {
+        let gap = self.settings.params.workers.report_s * PUBLISH_SHARE;
+        let due = self.restart.as_ref().is_some_and(|restart| now - restart.published_at >= gap);
+        if !due {
+            return;
+        }
+        let report = self.restart_report(now);
+        if let Some(restart) = &mut self.restart {
+            restart.published_at = now;
+            restart.published.publish(report);
+        }
+    }
+
+    fn restart_report(&mut self, now: Secs) -> RestartReport {
+        let left_alone = self.records_left_alone();
+        let deleted = &self.renting.deleted;
+        let progress = || self.leader.restart_progress(&self.mirror, &|id| deleted.contains_key(id));
+        RestartReport {
+            node: self.settings.node_name.clone(),
+            first_accepted_after_s: self.restart.as_ref().and_then(|restart| restart.first_accepted_s),
+            leader: self.leading().then(progress),
+            machines: self.part.restart_record(now),
+            records_left_alone_count: left_alone.len(),
+            records_left_alone: left_alone.into_iter().take(MOST_RECORDS_NAMED).collect(),
+        }
+    }
+
+    fn records_left_alone(&self) -> Vec<RecordLeftAlone> {
+        let unreadable = self.mirror.unreadable.iter();
+        let unreadable =
+            unreadable.map(|(key, record)| RecordLeftAlone { key: key.clone(), why: record.why.to_string() });
+        let misfits = misfit_records(&self.mirror, &self.settings).into_iter();
+        let misfits = misfits.map(|misfit| RecordLeftAlone { key: misfit.key, why: misfit.why.to_string() });
+        unreadable.chain(misfits).collect()
+    }
+}
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -18,6 +18,10 @@
 /// When to come back with what needs all controllers to be upgraded, in seconds.
 const UPGRADE_RETRY_S: u32 = 5;
 
+/// When to come back about a job whose record can't be read, in seconds: until an
+/// operator has seen to it, nothing else can be said.
+const UNREADABLE_RETRY_S: u32 = 30;
+
 /// Requests that wait.
 #[derive(Default)]
 pub(crate) struct Users {
@@ -49,7 +53,7 @@
 
     pub(super) fn submit(&mut self, spec: JobSpec, reply: Reply, now: Secs) {
         let id = spec.id.clone();
-        if self.mirror.jobs.contains_key(&id) {
+        if self.is_known(&id) {
             return self.query(id, reply, now);
         }
         if let Some((_, waiting)) = self.users.submits.get_mut(&id) {
@@ -130,6 +134,7 @@
                 let value = serde_json::to_value(&record).unwrap_or_default();
                 self.mirror.put(&job_key(&id), value, version);
                 self.job_changed(&id);
+                self.note_accepted(now);
                 let mut status = 201;
                 for reply in replies {
                     let view = JobView { id: id.clone(), state: "pending".into(), done: None, running: None };
@@ -169,6 +174,12 @@
         }
     }
 
+    /// Whether some controller has accepted a job, and be it that its record can't be
+    /// read.
+    fn is_known(&self, id: &JobId) -> bool {
+        self.mirror.jobs.contains_key(id) || self.mirror.unreadable.has(&job_key(id))
+    }
+
     fn wait_fresh(&mut self, read: Read, now: Secs) {
         let reply_now =
             self.fresh_at.is_none() || self.state_down || self.users.reads.len() >= self.most_waiting();
@@ -244,7 +255,7 @@
             if fresh >= came {
                 match read {
                     Read::Query(id, reply) => self.answer(&id, reply),
-                    Read::Unfit(id, why, reply) if !self.mirror.jobs.contains_key(&id) => {
+                    Read::Unfit(id, why, reply) if !self.is_known(&id) => {
                         reply.send(422, error_body(&why));
                     }
                     Read::Unfit(id, _, reply) => self.answer(&id, reply),
@@ -252,7 +263,7 @@
                         Some(j) if !j.live() => self.answer_final(&id, reply),
                         Some(_) if now < until => self.cancel(id, reply, now),
                         Some(_) => reply.later(503, 1, "not committed"),
-                        None => reply.send(404, error_body("no such job")),
+                        None => self.answer_unknown(&id, reply),
                     },
                 }
             } else if self.state_down || now - came > self.patience() {
@@ -273,10 +284,17 @@
         reply.send(200, serde_json::to_vec(&view).unwrap_or_default());
     }
 
+    /// Nothing can be said of a job without a readable record. Guard: one whose record
+    /// can't be read was accepted, and must not be called unknown.
+    fn answer_unknown(&self, id: &JobId, reply: Reply) {
+        if self.mirror.unreadable.has(&job_key(id)) {
+            return reply.later(503, UNREADABLE_RETRY_S, "the job's record can't be read");
+        }
+        reply.send(404, error_body("no such job"));
+    }
+
     fn answer(&self, id: &JobId, reply: Reply) {
-        let Some(job) = self.mirror.jobs.get(id) else {
-            return reply.send(404, error_body("no such job"));
-        };
+        let Some(job) = self.mirror.jobs.get(id) else { return self.answer_unknown(id, reply) };
         let running = self.running.get(id).copied().unwrap_or(0);
         let (state, done, running) = if job.record.done {
             ("done", job.record.tasks, 0)
--- a/src/failure_detection.rs
+++ b/src/failure_detection.rs
@@ -70,6 +70,13 @@
     pub owner_unheard: bool,
 }
 
+impl MachineHealth {
+    /// Nothing speaks against it but its silence: it was not asked in vain.
+    pub fn is_only_silent(&self) -> bool {
+        self.deaf_s.is_none() && !self.heedless
+    }
+}
+
 /// What to do with a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/src/fleet/commands.rs
+++ b/src/fleet/commands.rs
@@ -1,14 +1,20 @@
 //! Commands to workers, as answers to reports or sent directly, and the tokens
 //! that tell late copies from new ones.
 
-use super::{finished, Part, Phase, Stop, LATE_REPORTS};
+use super::{Part, Phase, Stop, LATE_REPORTS};
 use crate::clock::Secs;
 use crate::jobs::Mirror;
 use crate::membership::{token, token_counter, token_epoch};
-use crate::wire::{Call, Commands, MachineId, Report, TaskState};
+use crate::wire::{Call, Commands, MachineId, Report, Task, TaskState};
+use finchwood_reconcile::record::StopCause;
+use finchwood_reconcile::stored::StoredJobs;
+use finchwood_reconcile::verdict::{may_reap, must_stop, ReportedTask};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+/// A task as its machine last showed it: attempt, state and cause.
+type TaskLine = (u64, TaskState, Option<String>);
+
 /// What to answer a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportReply {
@@ -37,84 +43,109 @@
     pub doubtful: usize,
 }
 
+/// How long a task that is stopped may take to save.
+fn saving_time(stop: Stop, task: &Task, mirror: &Mirror) -> Secs {
+    let spec = mirror.jobs.get(&task.job).and_then(|job| job.record.spec.as_ref());
+    match (stop, spec) {
+        (Stop::Cancelled, _) | (_, None) => 0.0,
+        (_, Some(spec)) if spec.checkpoint_s > 0.0 => spec.save_s,
+        (_, Some(_)) => 0.0,
+    }
+}
+
+impl From<Stop> for StopCause {
+    fn from(stop: Stop) -> StopCause {
+        match stop {
+            Stop::Cancelled => StopCause::Over,
+            Stop::Recalled => StopCause::Recalled,
+            Stop::Preempted => StopCause::Preempted,
+            Stop::Notice => StopCause::Notice,
+        }
+    }
+}
+
 impl Part {
     /// The commands a machine is due. Reaps wait while a direct command is
     /// unanswered, and always carry a token above every earlier start's: a
     /// late copy of a start would run a reaped attempt again.
-    pub(super) fn compose(
-        &mut self,
-        id: &MachineId,
-        mirror: &Mirror,
-        now: Secs,
-        direct: bool,
-    ) -> (u64, Vec<Call>) {
+    pub(super) fn compose(&mut self, id: &MachineId, mirror: &Mirror, direct: bool) -> (u64, Vec<Call>) {
         let epoch = self.epoch;
         let Some(m) = self.machines.get_mut(id) else { return (token(epoch, 0), Vec::new()) };
-        if !m.certain || m.spent() {
+        if !m.certain() || m.spent() {
             return (token(epoch, m.counter), m.cancelled_stops(mirror));
         }
-        let mut commands = Vec::new();
-        if !m.in_flight {
-            for (task, (attempt, state, why)) in &m.lines {
-                let held = self.held.get(task).is_some_and(|h| {
-                    h.attempt == *attempt && h.at.as_ref().is_some_and(|p| p.machine == *id)
-                });
-                let release = match why.as_deref() {
-                    Some("done") => finished(mirror, task),
-                    _ => !held,
-                };
-                if *state == TaskState::Ended && release {
-                    commands.push(Call::Forget { task: task.to_string(), attempt: *attempt });
-                }
-            }
-            if !commands.is_empty() {
-                m.counter += 1;
-            }
+        let reaps = if m.in_flight { Vec::new() } else { self.reaps(id, mirror) };
+        let stops = self.stops_of_unheld(id);
+        let Some(m) = self.machines.get_mut(id) else { return (token(epoch, 0), Vec::new()) };
+        if !reaps.is_empty() {
+            m.counter += 1;
         }
-        for (task, (attempt, state, _)) in &m.lines {
-            let ours = self
-                .held
-                .get(task)
-                .is_some_and(|h| h.attempt == *attempt && h.at.as_ref().is_some_and(|p| p.machine == *id));
-            if *state != TaskState::Ended && !ours {
-                commands.push(Call::Stop { task: task.to_string(), attempt: *attempt, grace_s: 0.0 });
-            }
+        m.in_flight |= direct;
+        let token = token(epoch, m.counter);
+        let counts = &mut self.record.orders;
+        counts.reaps += reaps.len() as u64;
+        *counts.stops.entry(StopCause::NotHeld).or_default() += stops.len() as u64;
+        let mut commands = reaps;
+        commands.extend(stops);
+        for task in self.held.names_on(id) {
+            commands.extend(self.call_for_held(id, &task, token, mirror));
         }
-        let now_token = token(epoch, m.counter);
-        for task in &self.held.names_on(id) {
-            let Some(attempt) = self.held.get(task).map(|h| h.attempt) else { continue };
-            let Some(p) = self.held.place_mut(task) else { continue };
-            if let Some(stop) = p.stop {
-                if p.phase != Phase::Done {
-                    let save = mirror.jobs.get(&task.job).and_then(|j| j.record.spec.as_ref());
-                    let grace_s = match (stop, save) {
-                        (Stop::Cancelled, _) | (_, None) => 0.0,
-                        (_, Some(s)) => {
-                            if s.checkpoint_s > 0.0 {
-                                s.save_s
-                            } else {
-                                0.0
-                            }
-                        }
-                    };
-                    // A second stop would end a saving task.
-                    if p.phase != Phase::Saving || grace_s == 0.0 {
-                        commands.push(Call::Stop { task: task.to_string(), attempt, grace_s });
-                    }
-                    p.stop_sent = true;
-                }
-            } else if !p.confirmed && m.up {
-                commands.push(Call::Start { task: task.to_string(), attempt });
-                p.start_token = now_token;
-                p.session = m.session;
-                p.sent = true;
+        (token, commands)
+    }
+
+    /// The command that a held task is due, if any: a stop until it has stopped, a
+    /// start until it is seen.
+    fn call_for_held(&mut self, id: &MachineId, task: &Task, token: u64, mirror: &Mirror) -> Option<Call> {
+        let (session, up) = self.machines.get(id).map(|m| (m.session, m.up))?;
+        let attempt = self.held.get(task)?.attempt;
+        let place = self.held.place_mut(task)?;
+        let counts = &mut self.record.orders;
+        let Some(stop) = place.stop else {
+            if place.confirmed || !up {
+                return None;
             }
+            place.start_token = token;
+            place.session = session;
+            place.sent = true;
+            counts.starts += 1;
+            return Some(Call::Start { task: task.to_string(), attempt });
+        };
+        if place.phase == Phase::Done {
+            return None;
         }
-        if direct {
-            m.in_flight = true;
+        place.stop_sent = true;
+        let grace_s = saving_time(stop, task, mirror);
+        // A second stop would end a saving task.
+        if place.phase == Phase::Saving && grace_s > 0.0 {
+            return None;
         }
-        let _ = now;
-        (now_token, commands)
+        *counts.stops.entry(stop.into()).or_default() += 1;
+        Some(Call::Stop { task: task.to_string(), attempt, grace_s })
+    }
+
+    /// What a machine's worker may forget.
+    fn reaps(&self, id: &MachineId, mirror: &Mirror) -> Vec<Call> {
+        let Some(m) = self.machines.get(id) else { return Vec::new() };
+        let due = m.lines.iter().filter(|(task, (attempt, state, why))| {
+            let reported = ReportedTask::new(*attempt, *state, why.as_deref());
+            may_reap(reported, self.holding(id, task, *attempt), mirror.stored(task)).is_some()
+        });
+        due.map(|(task, line)| Call::Forget { task: task.to_string(), attempt: line.0 }).collect()
+    }
+
+    /// Stops for what a machine shows to run and this part doesn't hold there.
+    fn stops_of_unheld(&self, id: &MachineId) -> Vec<Call> {
+        let Some(m) = self.machines.get(id) else { return Vec::new() };
+        let due = m.lines.iter().filter(|(task, (attempt, state, why))| {
+            let reported = ReportedTask::new(*attempt, *state, why.as_deref());
+            must_stop(reported, self.holding(id, task, *attempt)).is_some()
+        });
+        let stop = |(task, line): (&Task, &TaskLine)| Call::Stop {
+            task: task.to_string(),
+            attempt: line.0,
+            grace_s: 0.0,
+        };
+        due.map(stop).collect()
     }
 
     /// Direct commands that are due now.
@@ -142,7 +173,7 @@
                 .iter()
                 .filter(|(_, m)| {
                     m.probe
-                        || m.up && !m.certain && m.session == 0
+                        || m.up && !m.certain() && m.session == 0
                         || m.up && now - m.heard.unwrap_or(entered.max(m.since)) > late
                 })
                 .map(|(id, _)| id.clone()),
@@ -162,14 +193,15 @@
             *left -= 1;
             m.probe = false;
             m.asked = m.asked.or(Some(now));
-            if !m.certain {
+            if !m.certain() {
                 m.in_flight = true;
                 let commands = m.cancelled_stops(mirror);
+                self.record.orders.questions += 1;
                 let body = Commands { token: token(self.epoch, m.counter), session, commands };
                 out.push(Direct { machine: id, addr, body, doubtful });
                 continue;
             }
-            let (token, commands) = self.compose(&id, mirror, now, true);
+            let (token, commands) = self.compose(&id, mirror, true);
             out.push(Direct { machine: id, addr, body: Commands { token, session, commands }, doubtful });
         }
         out
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -5,6 +5,7 @@
 use crate::clock::{self, Secs};
 use crate::jobs::Mirror;
 use crate::wire::{MachineId, Shape};
+use finchwood_reconcile::machine::MachineEvent;
 
 impl Part {
     /// A worker that has had no answer for the whole of its lease has killed
@@ -23,16 +24,21 @@
                 // Guard: a session without an answer has its lease from when it
                 // began. A worker that reports to nobody begins one after the
                 // other, and direct commands start tasks in each.
-                let renewed = m.answered.unwrap_or(entered).max(m.session_seen);
+                let mut renewed = m.answered.unwrap_or(entered).max(m.session_seen);
+                // Guard: while it has not shown our token, our answer may have been
+                // lost, and an earlier owner's accepted after it.
+                if !m.certain() {
+                    renewed = renewed.max(entered);
+                }
                 !m.in_flight && now - renewed > limit
             })
-            .filter(|(_, m)| !m.certain || m.session > m.over)
+            .filter(|(_, m)| !m.certain() || m.session > m.over)
             .map(|(id, _)| id.clone())
             .collect();
         for id in silent {
             if let Some(m) = self.machines.get_mut(&id) {
                 tracing::info!(%id, session = m.session, "a worker's lease is past");
-                m.certain = true;
+                m.state = m.state.after(MachineEvent::LeasePast).state;
                 m.over = m.session;
                 m.lines.clear();
                 let below = m.session + 1;
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -6,6 +6,8 @@
 use crate::jobs::Mirror;
 use crate::membership::{token, token_epoch, MOST_COUNTER};
 use crate::wire::{Call, JobId, Report, Task, TaskState};
+use finchwood_reconcile::machine::MachineState;
+use finchwood_reconcile::verdict::Verdict;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
@@ -26,7 +28,8 @@
     pub(super) deaf: Option<Secs>,
     pub(super) listed: bool,
     pub(super) up: bool,
-    pub(super) certain: bool,
+    /// What is known of its content.
+    pub(super) state: MachineState,
     pub(super) session: u64,
     pub(super) seq: u64,
     pub(super) counter: u64,
@@ -54,6 +57,10 @@
     pub(super) tested: Option<Secs>,
     /// Direct commands answered without any report between.
     pub(super) unreported: Option<Unreported>,
+    /// Its content was taken in at least once since its owner came to own it.
+    pub(super) reconciled: bool,
+    /// What was last judged of its tasks, other than that they are known.
+    pub(super) judged: BTreeMap<Task, (u64, Verdict)>,
 }
 
 /// For how long a machine has answered direct commands without a report.
@@ -82,7 +89,7 @@
             deaf: None,
             listed: false,
             up: false,
-            certain: false,
+            state: MachineState::Unheard,
             session: 0,
             seq: 0,
             counter: 0,
@@ -103,9 +110,16 @@
             unheeded: None,
             tested: None,
             unreported: None,
+            reconciled: false,
+            judged: BTreeMap::new(),
         }
     }
 
+    /// Whether its content is known.
+    pub(super) fn certain(&self) -> bool {
+        self.state.is_certain()
+    }
+
     pub(super) fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|i| &*i.0 == image)
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod machine;
 mod messages;
 mod placement;
+mod reconcile;
 mod reports;
 mod snapshot;
 
@@ -24,6 +25,9 @@
 use crate::jobs::{Mirror, RosterRecord};
 use crate::wire::{JobId, MachineId, Shape, Task, START_COUNTS_S};
 use assigned_tasks::AssignedTasks;
+use finchwood_reconcile::machine::MachineState;
+use finchwood_reconcile::record::RestartRecord;
+use finchwood_reconcile::stored::StoredJobs;
 use machine::Machine;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -122,6 +126,8 @@
     orders_seq: u64,
     /// Something changed that the leader should hear.
     pub dirty: bool,
+    /// What was found and decided since this part last knew nothing.
+    record: RestartRecord,
 }
 
 /// A task with its attempt.
@@ -152,9 +158,15 @@
             seq: 0,
             orders_seq: 0,
             dirty: true,
+            record: RestartRecord::new(0),
         }
     }
 
+    /// Keeps the latest `most` decisions of a restart, for whoever asks.
+    pub fn keep_record(&mut self, most: usize) {
+        self.record = RestartRecord::new(most);
+    }
+
     /// The epoch this part acts in.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -167,8 +179,10 @@
         let stays = inc == self.inc && epoch == self.epoch + 1;
         if !stays {
             let fresh = Part::new(&self.node, self.timing, std::mem::take(&mut self.start_aims));
-            *self = fresh;
+            let record = std::mem::replace(&mut self.record, RestartRecord::new(0));
+            *self = Part { record, ..fresh };
         }
+        self.record.enter(epoch, stays, now);
         self.epoch = epoch;
         self.entered = now;
         self.inc = inc;
@@ -197,7 +211,7 @@
             zone: record.zone.clone(),
             spot: record.spot,
             // Never used by anybody: the roster would say so.
-            certain: !record.up,
+            state: MachineState::listed(record.up),
             ..Machine::unknown(now)
         });
         m.listed = true;
@@ -425,10 +439,7 @@
 
 /// Whether a task needs no more runs, by what is committed.
 fn finished(mirror: &Mirror, task: &Task) -> bool {
-    mirror
-        .jobs
-        .get(&task.job)
-        .is_some_and(|j| j.record.done || j.record.cancelled || j.finished.has(task.index))
+    mirror.stored(task).needs_no_run()
 }
 
 impl Place {
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -36,7 +36,7 @@
 
     pub(super) fn open(&self, m: &Machine, now: Secs) -> bool {
         m.up && m.listed
-            && m.certain
+            && m.certain()
             && !m.draining
             && m.notice_until.is_none()
             && !m.suspect(self.timing.report_s, now)
@@ -222,7 +222,7 @@
                 || zone_full
                 || warm && !m.has_image(&spec.image)
                 || m.lines.contains_key(task)
-                || !best_fit::allowed(spec, &m.kind, &m.zone, m.spot)
+                || !spec.allowed_on(&m.kind, &m.zone, m.spot)
             {
                 continue;
             }
--- /dev/null
+++ b/src/fleet/reconcile.rs
@@ -0,0 +1,230 @@
+//! What becomes of the tasks that a machine shows, once its content is certain.
+//! Which is which is judged in `finchwood-reconcile`; here the verdicts are carried
+//! out.
+
+use super::{Held, Leave, Part, Phase, Place, Stop};
+use crate::clock::Secs;
+use crate::jobs::Mirror;
+use crate::wire::{cause, MachineId, Task, TaskState};
+use finchwood_reconcile::caution::{Action, HoldReason};
+use finchwood_reconcile::record::{Entry, RecordView};
+use finchwood_reconcile::stored::StoredJobs;
+use finchwood_reconcile::verdict::{attempt_counts, judge, AdoptReason, Holding, ReportedTask, Verdict};
+use std::collections::BTreeMap;
+
+/// The tasks of a report: attempt, state and cause.
+type Lines = BTreeMap<Task, (u64, TaskState, Option<String>)>;
+
+/// A task that is held and not listed.
+struct Absent {
+    task: Task,
+    /// The report shows a token above that of the last start.
+    proven: bool,
+    confirmed: bool,
+    stopping: bool,
+}
+
+impl Part {
+    /// What this part holds of a task that a machine shows under an attempt.
+    pub(super) fn holding(&self, id: &MachineId, task: &Task, attempt: u64) -> Holding {
+        match self.held.get(task) {
+            None => Holding::Nothing,
+            Some(held) => match &held.at {
+                None => Holding::Planned,
+                Some(place) if held.attempt == attempt && place.machine == *id => Holding::Same,
+                Some(_) => Holding::Elsewhere,
+            },
+        }
+    }
+
+    pub(super) fn reconcile(&mut self, id: &MachineId, seen_token: u64, mirror: &Mirror, now: Secs) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let lines = std::mem::take(&mut m.lines);
+        let judged_before = std::mem::take(&mut m.judged);
+        let (session, first_sight) = (m.session, !m.reconciled);
+        m.reconciled = true;
+        let mut judged = BTreeMap::new();
+        for (task, (attempt, state, why)) in &lines {
+            let reported = ReportedTask::new(*attempt, *state, why.as_deref());
+            let holding = self.holding(id, task, *attempt);
+            let verdict = judge(reported, holding, mirror.stored(task), self.epoch);
+            if verdict != Verdict::Known {
+                judged.insert(task.clone(), (*attempt, verdict));
+                if judged_before.get(task) != Some(&(*attempt, verdict)) {
+                    self.note_verdict(id, session, task, *attempt, verdict, first_sight, now);
+                }
+            }
+            if attempt_counts(*attempt, self.epoch) {
+                let seen = self.seen.entry(task.clone()).or_insert(0);
+                *seen = (*seen).max(*attempt);
+            }
+            let adopted = Place::adopted(id, session, seen_token, now);
+            self.carry_out(verdict, task, *attempt, adopted, now);
+            self.take_in_line(verdict, task, (*attempt, *state, why.as_deref()), now);
+        }
+        self.take_in_absent(id, &lines, seen_token);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.lines = lines;
+            m.judged = judged;
+        }
+    }
+
+    /// Holds a task as the verdict says.
+    fn carry_out(&mut self, verdict: Verdict, task: &Task, attempt: u64, place: Place, now: Secs) {
+        match verdict {
+            Verdict::Known | Verdict::Reap(_) | Verdict::Conflict(_) => {}
+            Verdict::Adopt(AdoptReason::FoundWhilePlanned) => {
+                let stale = self.held.get(task).map(|held| held.attempt);
+                tracing::warn!(%task, stale, attempt, "assigned task found on a machine");
+                self.held.place(task, attempt, place);
+                self.dirty = true;
+            }
+            // One that is to stop is held until it has: so long it takes its team's
+            // room. One that nothing is known of is held as well, and left alone.
+            Verdict::Adopt(_) | Verdict::RecordFinished | Verdict::Stop(_) | Verdict::LeaveInDoubt(_) => {
+                let held = Held {
+                    attempt,
+                    assignment: attempt,
+                    at: Some(place),
+                    since: now,
+                    avoid: Vec::new(),
+                    told: None,
+                };
+                self.held.insert(task.clone(), held);
+                self.dirty = true;
+            }
+        }
+    }
+
+    /// Takes in what a held task does now.
+    fn take_in_line(
+        &mut self,
+        verdict: Verdict,
+        task: &Task,
+        (attempt, state, why): (u64, TaskState, Option<&str>),
+        now: Secs,
+    ) {
+        match verdict {
+            Verdict::Reap(_) | Verdict::Conflict(_) => {}
+            Verdict::Stop(_) => {
+                self.progress(task, state, why, now);
+                self.recall(task, attempt, Stop::Cancelled);
+            }
+            Verdict::Known | Verdict::Adopt(_) | Verdict::RecordFinished | Verdict::LeaveInDoubt(_) => {
+                self.progress(task, state, why, now);
+            }
+        }
+    }
+
+    /// Keeps a verdict for the record: all on what a machine shows first, later only
+    /// what is out of the ordinary.
+    #[allow(clippy::too_many_arguments)]
+    fn note_verdict(
+        &mut self,
+        id: &MachineId,
+        session: u64,
+        task: &Task,
+        attempt: u64,
+        verdict: Verdict,
+        first_sight: bool,
+        now: Secs,
+    ) {
+        let odd = matches!(verdict, Verdict::LeaveInDoubt(_) | Verdict::Conflict(_));
+        if odd {
+            tracing::warn!(%task, attempt, machine = %id, ?verdict, "a reported task is left alone");
+        } else if !first_sight {
+            return;
+        }
+        self.record.note(Entry {
+            at_s: self.record.age_s(now),
+            task: task.to_string(),
+            attempt,
+            machine: id.clone(),
+            session,
+            verdict,
+        });
+    }
+
+    /// What this part holds on a machine and the newest report doesn't list.
+    fn take_in_absent(&mut self, id: &MachineId, lines: &Lines, seen_token: u64) {
+        let absent: Vec<Absent> = self
+            .held
+            .on(id)
+            .filter(|(task, held)| lines.get(*task).is_none_or(|line| line.0 != held.attempt))
+            .filter_map(|(task, held)| {
+                let place = held.at.as_ref()?;
+                Some(Absent {
+                    task: task.clone(),
+                    proven: seen_token > place.start_token,
+                    confirmed: place.confirmed,
+                    stopping: place.stop.is_some(),
+                })
+            })
+            .collect();
+        for Absent { task, proven, confirmed, stopping } in absent {
+            if proven && (confirmed || stopping) {
+                self.leave(&task, if stopping { Leave::Stopped } else { Leave::Lost });
+            } else if proven {
+                // Not there and can't come any more: start it anew.
+                if let Some(place) = self.held.place_mut(&task) {
+                    place.sent = false;
+                    place.start_token = u64::MAX;
+                }
+            } else if confirmed || stopping {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.raise(self.epoch, seen_token);
+                    m.probe = true;
+                }
+            }
+        }
+    }
+
+    /// The leader held something back because of what is in doubt.
+    pub fn note_hold(&mut self, action: Action, reason: HoldReason) {
+        self.record.note_hold(action, reason);
+    }
+
+    /// What was found and decided since this part last knew nothing.
+    pub fn restart_record(&mut self, now: Secs) -> RecordView {
+        let in_doubt = self.machines.values().filter(|m| !m.certain()).count();
+        self.record.note_doubt(in_doubt, now);
+        self.record.view(self.machines.values().map(|m| m.state), now)
+    }
+
+    pub(super) fn progress(&mut self, task: &Task, state: TaskState, why: Option<&str>, now: Secs) {
+        let Some(since) = self.held.get(task).map(|h| h.since) else { return };
+        let Some(p) = self.held.place_mut(task) else { return };
+        p.confirmed = true;
+        p.sent = true;
+        let phase = match state {
+            // A gang that gathers does not run yet.
+            TaskState::Fetching | TaskState::Gathering => Phase::Fetching,
+            TaskState::Running | TaskState::Other => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Ended => match why {
+                Some(cause::DONE) => Phase::Done,
+                Some(cause::STOPPED) => return self.leave(task, Leave::Stopped),
+                Some(cause::ERROR) => {
+                    let machine = p.machine.clone();
+                    if let Some(m) = self.machines.get_mut(&machine) {
+                        m.errors.insert(task.job.clone());
+                    }
+                    return self.leave(task, Leave::Error);
+                }
+                // Refused: it can't have had its image under this assignment.
+                Some(cause::NO_ROOM | cause::BUSY | cause::UNKNOWN) | None => {
+                    return self.leave(task, Leave::Passed)
+                }
+                // The attempt of its gang is over, or something this version
+                // doesn't know: neither is the fault of the machine or the job.
+                Some(_) => return self.leave(task, Leave::Lost),
+            },
+        };
+        if p.phase != phase {
+            tracing::debug!(%task, ?phase, after = now - since, "now");
+            p.phase = phase;
+            p.since = now;
+            self.dirty = true;
+        }
+    }
+}
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -29,7 +29,7 @@
             kind: m.kind.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
-            certain: m.certain,
+            certain: m.certain(),
             heard: m.heard.is_some(),
             listed: m.listed,
             addr: m.addr.clone(),
--- a/src/http.rs
+++ b/src/http.rs
@@ -29,6 +29,8 @@
         relayed: bool,
     },
     Peer(Box<Envelope>),
+    /// What the last restart or takeover found, for operators.
+    RestartReport,
 }
 
 /// Listens for users and workers, or for the other controllers, and hands
@@ -63,6 +65,7 @@
                 Envelope::decode(&body).map(|e| Ask::Peer(Box::new(e))).ok_or((400, "not a message".into()))
             }
             "/relay" => report(body, true),
+            "/restart" if method == "GET" => Ok(Ask::RestartReport),
             _ => Err(none()),
         };
     }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -11,7 +11,9 @@
 
 use crate::finished::{tasks_per_chunk, Bits, Chunk};
 use crate::state::{Entry, Event};
-use crate::wire::{Catalog, JobId, JobSpec, MachineId};
+use crate::unreadable::{RecordError, UnreadableRecords};
+use crate::wire::{Catalog, JobId, JobSpec, MachineId, Task};
+use finchwood_reconcile::stored::{StoredJobs, StoredTask};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +21,10 @@
 
 /// The key of the epoch.
 pub const EPOCH_KEY: &str = "fw/epoch";
+/// What the keys of roster pages begin with.
+pub const ROSTER_PREFIX: &str = "fw/r/";
+/// What the keys of job records begin with.
+pub const JOB_PREFIX: &str = "fw/j/";
 /// The key of the catalogue.
 pub const CATALOG_KEY: &str = "fw/c";
 
@@ -78,6 +84,20 @@
     pub cancelled_at_ms: Option<u64>,
 }
 
+impl JobRecord {
+    /// Whether the record makes sense under the key of job `id`. One that is over
+    /// needs nothing of its description.
+    fn check(&self, id: &str) -> Result<(), RecordError> {
+        match &self.spec {
+            _ if self.done || self.cancelled => Ok(()),
+            None => Err(RecordError::NoDescription),
+            Some(spec) if &*spec.id != id => Err(RecordError::OtherJob),
+            Some(spec) if spec.tasks != self.tasks => Err(RecordError::TaskCount),
+            _ => Ok(()),
+        }
+    }
+}
+
 /// A machine as it is stored.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RosterRecord {
@@ -178,10 +198,25 @@
     gone_pages: HashMap<Arc<str>, u64>,
     pub catalog: Option<Arc<Catalog>>,
     pub catalog_version: u64,
+    /// Records that make no sense, and are left alone.
+    pub unreadable: UnreadableRecords,
     /// Tasks of each numbered chunk, as production counts them.
     tasks_per_numbered_chunk: u32,
 }
 
+impl StoredJobs for Mirror {
+    fn stored(&self, task: &Task) -> StoredTask {
+        match self.jobs.get(&task.job) {
+            None => StoredTask::UnknownJob,
+            Some(job) if job.record.done => StoredTask::JobDone,
+            Some(job) if job.record.cancelled => StoredTask::JobCancelled,
+            Some(job) if task.index >= job.record.tasks => StoredTask::NoSuchTask,
+            Some(job) if job.finished.has(task.index) => StoredTask::Finished,
+            Some(_) => StoredTask::Unfinished,
+        }
+    }
+}
+
 /// The key of a job's record.
 pub fn job_key(id: &str) -> String {
     format!("fw/j/{id}")
@@ -195,6 +230,27 @@
     format!("fw/m/{name}")
 }
 
+/// Reads a stored value.
+fn read<T: serde::de::DeserializeOwned>(value: Value) -> Result<T, RecordError> {
+    serde_json::from_value(value).map_err(|_| RecordError::Malformed)
+}
+
+/// Reads a page of the roster, or the record of a single machine as a page.
+fn read_page(name: &str, value: Value) -> Result<RosterPage, RecordError> {
+    if value.get("m").is_some() {
+        return read(value);
+    }
+    let record: RosterRecord = read(value)?;
+    let addr = record.up.then(|| record.addr.unwrap_or_else(|| "".into()));
+    Ok(RosterPage {
+        kind: record.kind,
+        zone: record.zone,
+        spot: record.spot,
+        at_ms: record.at_ms,
+        machines: [(name.into(), addr)].into_iter().collect(),
+    })
+}
+
 impl Mirror {
     /// An empty mirror.
     pub fn new(value_kb: f64) -> Mirror {
@@ -225,94 +281,118 @@
         }
     }
 
-    /// Applies a put; older versions than the known one change nothing.
+    /// Applies a put; older versions than the known one change nothing. A record
+    /// that makes no sense is left out: what was known under its key stays.
     pub fn put(&mut self, key: &str, value: Value, version: u64) -> Change {
-        self.try_put(key, value, version).unwrap_or_else(|| {
-            tracing::warn!(key, "a value in the state service makes no sense; left out");
-            Change::Nothing
-        })
+        match self.try_put(key, value, version) {
+            Ok(change) => {
+                self.unreadable.remove(key, version);
+                change
+            }
+            Err(RecordError::ForeignKey) => {
+                tracing::debug!(key, "a key of another version");
+                Change::Nothing
+            }
+            Err(why) => {
+                tracing::warn!(key, version, %why, "a stored record is left out");
+                self.unreadable.add(key, version, why);
+                Change::Nothing
+            }
+        }
     }
 
-    fn try_put(&mut self, key: &str, value: Value, version: u64) -> Option<Change> {
-        if key == EPOCH_KEY {
-            let epoch: Epoch = serde_json::from_value(value).ok()?;
-            if version <= self.epoch_version {
-                return Some(Change::Nothing);
-            }
-            self.epoch = Some(epoch);
-            self.epoch_version = version;
-            return Some(Change::Epoch);
+    fn try_put(&mut self, key: &str, value: Value, version: u64) -> Result<Change, RecordError> {
+        match key {
+            EPOCH_KEY => return self.put_epoch(value, version),
+            CATALOG_KEY => return self.put_catalog(value, version),
+            _ => {}
         }
-        if key == CATALOG_KEY {
-            if version <= self.catalog_version {
-                return Some(Change::Nothing);
+        let rest = key.strip_prefix("fw/").ok_or(RecordError::ForeignKey)?;
+        let mut parts = rest.splitn(3, '/');
+        match (parts.next(), parts.next(), parts.next()) {
+            (Some("m"), Some(name), None) => self.put_member(name, value, version),
+            (Some("j"), Some(id), None) => self.put_job(id, value, version),
+            (Some("f"), Some(id), Some(chunk)) => self.put_finished(id, chunk, value, version),
+            (Some("r"), Some(name), None) => {
+                let page = read_page(name, value)?;
+                Ok(self.put_page(key.into(), page, version))
             }
-            self.catalog = Some(Arc::new(serde_json::from_value(value).ok()?));
-            self.catalog_version = version;
-            return Some(Change::Catalog);
+            _ => Err(RecordError::ForeignKey),
         }
-        let mut parts = key.strip_prefix("fw/")?.splitn(3, '/');
-        match (parts.next()?, parts.next()?, parts.next()) {
-            ("m", name, None) => {
-                let known = self.members.get(name).map_or(0, |m| m.1);
-                if version > known {
-                    let member = serde_json::from_value(value).ok()?;
-                    self.members.insert(name.into(), (member, version));
-                }
-                Some(Change::Members)
-            }
-            ("j", id, None) => {
-                let record: JobRecord = serde_json::from_value(value).ok()?;
-                let id: JobId = id.into();
-                match self.jobs.get_mut(&id) {
-                    Some(job) if version <= job.version => return Some(Change::Nothing),
-                    Some(job) => {
-                        job.record = record;
-                        job.version = version;
-                        if job.record.done {
-                            job.finished = Bits::default();
-                            job.chunks.clear();
-                        }
-                    }
-                    None => {
-                        self.jobs.insert(
-                            id.clone(),
-                            Job { record, version, finished: Bits::default(), chunks: BTreeMap::new() },
-                        );
-                    }
-                }
-                Some(Change::Job(id))
-            }
-            ("f", id, Some(chunk)) => {
-                let chunk = Chunk::parse(chunk)?;
-                let first = chunk.first_task(self.tasks_per_numbered_chunk)?;
-                let text: String = serde_json::from_value(value).ok()?;
-                let job = self.jobs.get_mut(id)?;
-                if job.record.done || version <= job.chunks.get(&chunk).copied().unwrap_or(0) {
-                    return Some(Change::Nothing);
+    }
+
+    fn put_epoch(&mut self, value: Value, version: u64) -> Result<Change, RecordError> {
+        let epoch: Epoch = read(value)?;
+        if version <= self.epoch_version {
+            return Ok(Change::Nothing);
+        }
+        self.epoch = Some(epoch);
+        self.epoch_version = version;
+        Ok(Change::Epoch)
+    }
+
+    fn put_catalog(&mut self, value: Value, version: u64) -> Result<Change, RecordError> {
+        if version <= self.catalog_version {
+            return Ok(Change::Nothing);
+        }
+        self.catalog = Some(Arc::new(read(value)?));
+        self.catalog_version = version;
+        Ok(Change::Catalog)
+    }
+
+    fn put_member(&mut self, name: &str, value: Value, version: u64) -> Result<Change, RecordError> {
+        let known = self.members.get(name).map_or(0, |member| member.1);
+        if version > known {
+            self.members.insert(name.into(), (read(value)?, version));
+        }
+        Ok(Change::Members)
+    }
+
+    fn put_job(&mut self, id: &str, value: Value, version: u64) -> Result<Change, RecordError> {
+        let record: JobRecord = read(value)?;
+        record.check(id)?;
+        let id: JobId = id.into();
+        match self.jobs.get_mut(&id) {
+            Some(job) if version <= job.version => return Ok(Change::Nothing),
+            Some(job) => {
+                job.record = record;
+                job.version = version;
+                if job.record.done {
+                    job.finished = Bits::default();
+                    job.chunks.clear();
                 }
-                job.chunks.insert(chunk, version);
-                job.finished.add_hex(first, &text);
-                Some(Change::Job(id.into()))
             }
-            ("r", name, None) => {
-                let page = if value.get("m").is_some() {
-                    serde_json::from_value(value).ok()?
-                } else {
-                    let r: RosterRecord = serde_json::from_value(value).ok()?;
-                    let addr = r.up.then(|| r.addr.unwrap_or_else(|| "".into()));
-                    RosterPage {
-                        kind: r.kind,
-                        zone: r.zone,
-                        spot: r.spot,
-                        at_ms: r.at_ms,
-                        machines: [(name.into(), addr)].into_iter().collect(),
-                    }
-                };
-                Some(self.put_page(key.into(), page, version))
+            None => {
+                let job = Job { record, version, finished: Bits::default(), chunks: BTreeMap::new() };
+                self.jobs.insert(id.clone(), job);
             }
-            _ => None,
         }
+        Ok(Change::Job(id))
+    }
+
+    fn put_finished(
+        &mut self,
+        id: &str,
+        chunk: &str,
+        value: Value,
+        version: u64,
+    ) -> Result<Change, RecordError> {
+        let chunk = Chunk::parse(chunk).ok_or(RecordError::Malformed)?;
+        let first = chunk.first_task(self.tasks_per_numbered_chunk).ok_or(RecordError::NoSuchTask)?;
+        let text: String = read(value)?;
+        let job = self.jobs.get_mut(id).ok_or(RecordError::NoSuchJob)?;
+        if job.record.done || version <= job.chunks.get(&chunk).copied().unwrap_or(0) {
+            return Ok(Change::Nothing);
+        }
+        let mut finished = job.finished.clone();
+        finished.add_hex(first, &text);
+        // Guard: counted, they would make a job done before all its tasks are.
+        if finished.last().is_some_and(|task| task >= job.record.tasks) {
+            return Err(RecordError::NoSuchTask);
+        }
+        job.chunks.insert(chunk, version);
+        job.finished = finished;
+        Ok(Change::Job(id.into()))
     }
 
     /// Takes in that a job's cancellation was committed as revision `version`,
@@ -379,6 +459,7 @@
     }
 
     fn delete(&mut self, key: &str, version: u64) -> Change {
+        self.unreadable.remove(key, version);
         let mut parts = key.strip_prefix("fw/").unwrap_or_default().splitn(3, '/');
         match (parts.next(), parts.next()) {
             (Some("m"), Some(name)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,8 @@
 //! actors own their state and talk through channels.
 
 pub mod assignment;
-pub mod clock;
 pub mod cloud;
 pub mod controller;
-pub mod finished;
 pub mod fleet;
 
 pub mod best_fit;
@@ -26,7 +24,12 @@
 pub mod policy;
 pub mod reachability;
 pub mod rent;
+pub mod restart_report;
 pub mod server;
 pub mod settings;
 pub mod state;
-pub mod wire;
+pub mod stored_check;
+pub mod unreadable;
+pub mod with;
+
+pub use finchwood_model::{clock, finished, wire};
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,9 @@
     /// The operators' own settings, a Lua script.
     #[arg(long, value_name = "FILE")]
     policy: Option<PathBuf>,
+    /// A file that switches on a part of the program (TOML); once for each part.
+    #[arg(long = "with", value_name = "FILE")]
+    with: Vec<PathBuf>,
 }
 
 fn log() {
@@ -38,9 +41,11 @@
             Some(path) => finchwood::policy::Policy::load(path).map_err(|e| e.to_string())?,
             None => Default::default(),
         };
-        Ok((s, policy))
+        let parts = finchwood::with::Parts::load(&args.with).map_err(|e| e.to_string())?;
+        Ok((s, policy, parts))
     });
-    let ended = ready.and_then(|(settings, policy)| finchwood::controller::run(settings, policy));
+    let ended =
+        ready.and_then(|(settings, policy, parts)| finchwood::controller::run(settings, policy, &parts));
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -5,32 +5,11 @@
 use crate::jobs::{member_key, Epoch, Member};
 use crate::settings::Settings;
 use crate::state::{spawn, Budget, CallError, Op, Outcome, Store};
+pub use finchwood_model::token::{token, token_counter, token_epoch, MOST_COUNTER};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Bits of a token that count within an epoch.
-const COUNTER_BITS: u32 = 24;
-
-/// The highest counter: whoever has reached it can't be told a higher token in
-/// its epoch, so that nothing could be proven of it any more.
-pub const MOST_COUNTER: u64 = (1 << COUNTER_BITS) - 1;
-
-/// The token of `counter` in `epoch`.
-pub fn token(epoch: u64, counter: u64) -> u64 {
-    (epoch << COUNTER_BITS) | counter.min(MOST_COUNTER)
-}
-
-/// The counter of a token.
-pub fn token_counter(token: u64) -> u64 {
-    token & MOST_COUNTER
-}
-
-/// The epoch that a token belongs to.
-pub fn token_epoch(token: u64) -> u64 {
-    token >> COUNTER_BITS
-}
-
 /// The epoch that should follow, if the live members are not those of the
 /// present one. The leader stays while it lives in the same incarnation.
 pub fn next_epoch(present: Option<&Epoch>, live: &BTreeMap<String, (Member, u64)>) -> Option<Epoch> {
--- a/src/rent.rs
+++ b/src/rent.rs
@@ -1,6 +1,5 @@
 //! What to rent and what to return. Pure: demand and machines in, actions out.
 
-use crate::best_fit;
 use crate::clock::Secs;
 use crate::wire::{Catalog, JobSpec, MachineId, MachineType, Rank, Res, Shape};
 use std::collections::{BTreeMap, HashMap};
@@ -179,7 +178,7 @@
 
     /// Whether machines of an offer may be used.
     fn allows(&self, offer: &Offer) -> bool {
-        best_fit::allowed(&self.want.spec, &offer.0, &offer.1, offer.2) && self.zone_left(&offer.1) > 0
+        self.want.spec.allowed_on(&offer.0, &offer.1, offer.2) && self.zone_left(&offer.1) > 0
     }
 
     /// Puts as many tasks as fit on a machine; returns their number.
--- /dev/null
+++ b/src/stored_check.rs
@@ -0,0 +1,46 @@
+//! Stored records that can be read and yet make no sense in this deployment: they
+//! name teams, zones or machine types that nobody knows. They are reported, and left
+//! as they are: such a job waits, and such a machine gets nothing.
+
+use crate::jobs::{job_key, Mirror};
+use crate::settings::Settings;
+use crate::unreadable::RecordError;
+
+/// A stored record that doesn't fit the settings or the catalogue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MisfitRecord {
+    /// Its key.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: RecordError,
+}
+
+/// All records that don't fit, by key.
+pub fn misfit_records(mirror: &Mirror, settings: &Settings) -> Vec<MisfitRecord> {
+    let mut misfits = jobs_of_unknown_teams(mirror, settings);
+    misfits.extend(pages_that_do_not_fit(mirror, settings));
+    misfits.sort_by(|a, b| a.key.cmp(&b.key));
+    misfits
+}
+
+fn jobs_of_unknown_teams(mirror: &Mirror, settings: &Settings) -> Vec<MisfitRecord> {
+    let live = mirror.jobs.iter().filter(|(_, job)| job.live());
+    let unknown = live
+        .filter(|(_, job)| job.record.spec.as_ref().is_some_and(|spec| settings.team(&spec.team).is_none()));
+    unknown.map(|(id, _)| MisfitRecord { key: job_key(id), why: RecordError::UnknownTeam }).collect()
+}
+
+fn pages_that_do_not_fit(mirror: &Mirror, settings: &Settings) -> Vec<MisfitRecord> {
+    let mut misfits = Vec::new();
+    for (key, page) in &mirror.pages {
+        let zone_known = settings.params.zones.iter().any(|zone| **zone == *page.page.zone);
+        let kind_known = mirror.catalog.as_ref().is_none_or(|c| c.get(&page.page.kind).is_some());
+        let why = match (zone_known, kind_known) {
+            (false, _) => RecordError::UnknownZone,
+            (true, false) => RecordError::UnknownMachineType,
+            (true, true) => continue,
+        };
+        misfits.push(MisfitRecord { key: key.to_string(), why });
+    }
+    misfits
+}
