Cold restart: real processes, a plain model, four thousand machines; larger messages

Tests: three controllers and fifty stand-in workers, all killed at once, back after 0.3 s, 5 s (and again while reconciling) and 13 s (without the state service, one later); a plain model of the reconcile package; 4,000 machines through start, steady reports, change of leader and cold restart, counting orders and bytes.

Need for the change: one message between controllers was bounded by 2 MiB whatever the settings; a part of few controllers and thousands of machines would not have got through. It is a tenth of the controller's memory now.

--- a/src/http.rs
+++ b/src/http.rs
@@ -15,6 +15,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The share of a controller's memory that one message of another may take.
+const MESSAGE_SHARE: f64 = 1.0 / 10.0;
+
 /// What a request asks of the controller.
 #[derive(Debug)]
 pub enum Ask {
@@ -43,7 +46,8 @@
     // for the other controllers and for what this one asks of others.
     let most = settings.params.machine_limits.max_connections;
     let (name, addr, limits) = if back {
-        ("listen-back", settings.back, Limits { connections: (most / 10).max(8), body: 32 * BODY_LIMIT })
+        let body = largest_message(settings.params.machine_limits.ram_mb);
+        ("listen-back", settings.back, Limits { connections: (most / 10).max(8), body })
     } else {
         ("listen", settings.client_listen, Limits { connections: (most * 3 / 4).max(8), body: BODY_LIMIT })
     };
@@ -55,6 +59,12 @@
     })
 }
 
+/// The largest message that a controller takes from another, in bytes: the whole of a
+/// part, in a cluster where few controllers share thousands of machines.
+pub fn largest_message(ram_mb: f64) -> usize {
+    ((ram_mb * MESSAGE_SHARE * 1024.0 * 1024.0) as usize).max(32 * BODY_LIMIT)
+}
+
 type Bad = (u16, String);
 
 fn parse(method: &str, path: &str, body: Vec<u8>, back: bool) -> Result<Ask, Bad> {
--- /dev/null
+++ b/tests/cold_restart.rs
@@ -0,0 +1,164 @@
+//! Three controllers as real processes, fifty stand-in workers, services, arrays and a
+//! gang. All controllers are killed at one instant and come back, after less and less
+//! short a while and in ways that get worse. Seen from the workers: nothing is started
+//! twice, nothing healthy is stopped, no machine in use is deleted, and no order is
+//! given that the controllers' records don't account for.
+//!
+//! No time is measured: on a machine so slow that a lease runs out, what was killed by
+//! that may be started again, and only that.
+
+mod common;
+
+use common::cluster::{job, Cluster, Options, PATIENCE};
+use common::Seen;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+/// Replicas and tasks that stay: services, a gang, arrays whose ids end in an odd digit.
+const STAYING: [(&str, &str, u32); 5] = [
+    ("wk-000001", "standing", 66),
+    ("wk-000003", "standing", 50),
+    ("wk-000005", "ensemble", 8),
+    ("wk-000007", "array", 60),
+    ("wk-000009", "array", 17),
+];
+
+fn lock(seen: &Mutex<Seen>) -> MutexGuard<'_, Seen> {
+    seen.lock().expect("seen")
+}
+
+fn wait(what: &str, done: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !done() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// How many tasks of the jobs that stay are on machines.
+fn running(seen: &Mutex<Seen>) -> usize {
+    let seen = lock(seen);
+    let stays = |task: &str| STAYING.iter().any(|(id, _, _)| task.starts_with(id));
+    seen.on.iter().filter(|(task, on)| stays(task) && !on.is_empty()).count()
+}
+
+/// What the workers had seen before all controllers were killed.
+struct Before {
+    starts_of: BTreeMap<String, u32>,
+    lapsed: u32,
+    tasks: usize,
+}
+
+impl Before {
+    fn now(seen: &Mutex<Seen>) -> Before {
+        let tasks = running(seen);
+        let seen = lock(seen);
+        Before { starts_of: seen.starts_of.clone(), lapsed: seen.lapsed, tasks }
+    }
+
+    /// Nothing was started again but what a lease had killed, nothing was stopped, and
+    /// nothing in use was deleted.
+    fn check(&self, seen: &Mutex<Seen>, when: &str) {
+        let seen = lock(seen);
+        let again: u32 = seen
+            .starts_of
+            .iter()
+            .map(|(task, n)| n - self.starts_of.get(task).copied().unwrap_or(0).min(*n))
+            .filter(|n| *n > 0)
+            .sum();
+        let new = seen.starts_of.keys().filter(|task| !self.starts_of.contains_key(*task)).count() as u32;
+        let lapsed = seen.lapsed - self.lapsed;
+        assert!(
+            again <= new + lapsed,
+            "{when}: {again} starts, {new} of them first, {lapsed} killed by leases"
+        );
+        assert_eq!(seen.twice, [""; 0], "{when}: on two machines at once");
+        assert_eq!(seen.stopped, [""; 0], "{when}: stopped");
+        assert_eq!(seen.deleted_in_use, [""; 0], "{when}: deleted with tasks on them");
+    }
+}
+
+/// Waits until the controllers' records say that nothing is in doubt, and compares them
+/// with what the workers saw.
+fn check_records(c: &Cluster, before: &Before, when: &str) {
+    let records = || (0..NODES).map(|i| c.ask(i, "/restart")).collect::<Vec<Value>>();
+    wait("doubt remains", || {
+        let all = records();
+        let leader = all.iter().find(|r| r["leader"].is_object());
+        leader.is_some_and(|r| r["leader"]["resolved"] == true && r["leader"]["tasks_in_doubt"] == 0)
+            && all.iter().all(|r| r["machines"]["certain_after_s"].is_number())
+    });
+    let all = records();
+    let sum = |path: &str| -> u64 { all.iter().filter_map(|r| r.pointer(path)?.as_u64()).sum() };
+    let verdicts = |name: &str| -> u64 {
+        let of = |r: &Value| r["machines"]["verdicts"].as_array().cloned().unwrap_or_default();
+        let named = all.iter().flat_map(of).filter(|v| v["verdict"] == name);
+        named.filter_map(|v| v["count"].as_u64()).sum()
+    };
+    let adopted = verdicts("adopt");
+    assert!(adopted >= before.tasks as u64, "{when}: {adopted} adopted of {}", before.tasks);
+    let stops: u64 = all
+        .iter()
+        .filter_map(|r| r.pointer("/machines/orders/stops")?.as_object().cloned())
+        .flat_map(|stops| stops.into_values().filter_map(|n| n.as_u64()).collect::<Vec<_>>())
+        .sum();
+    assert_eq!((stops, verdicts("conflict"), verdicts("stop")), (0, 0, 0), "{when}: {all:?}");
+    let certain = all.iter().filter_map(|r| r["machines"]["certain_after_s"].as_f64()).fold(0.0, f64::max);
+    println!(
+        "{when}: {} tasks, {adopted} adopted, {} questions, {} starts, {stops} stops, {} reaps; no machine in \
+         doubt after {certain:.2} s",
+        before.tasks,
+        sum("/machines/orders/questions"),
+        sum("/machines/orders/starts"),
+        sum("/machines/orders/reaps"),
+    );
+}
+
+fn accepted(c: &Cluster, node: usize, id: &str, shape: &str, tasks: u32) {
+    c.until(node, "POST", "/v2/runs", Some(job(id, shape, tasks)), |s, _| s == 201 || s == 200);
+}
+
+#[test]
+fn all_controllers_go_down_together_and_running_work_is_trusted() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let options = Options { lease_s: 24, team_cpus: 260, with: vec!["deploy/cold-restart.toml"] };
+    let mut c = Cluster::start_with(NODES, "cold", &seen, options);
+    (0..NODES).for_each(|i| c.until(i, "GET", "/up", None, |s, _| s == 200));
+    for (n, (id, shape, tasks)) in STAYING.into_iter().enumerate() {
+        accepted(&c, n % NODES, id, shape, tasks);
+    }
+    let all: u32 = STAYING.iter().map(|job| job.2).sum();
+    wait("all of it runs", || running(&seen) == all as usize);
+    for (n, away_s) in [0.3, 5.0, 13.0].into_iter().enumerate() {
+        // Some of it ends while nobody is there.
+        let short = format!("wk-00{n}002");
+        accepted(&c, n, &short, "array", 12);
+        wait("some of it begins", || lock(&seen).starts_of.keys().any(|task| task.starts_with(&short)));
+        let before = Before::now(&seen);
+        let when = format!("away for {away_s} s");
+        (0..NODES).for_each(|i| c.kill(i));
+        std::thread::sleep(Duration::from_secs_f64(away_s));
+        // The second time they go again while they reconcile, the third time the state
+        // service is away when they come, and one of them comes later.
+        c.outage(n == 2);
+        (0..NODES - usize::from(n == 2)).for_each(|i| c.boot(i));
+        if n == 1 {
+            std::thread::sleep(Duration::from_millis(700));
+            (0..NODES).for_each(|i| c.kill(i));
+            (0..NODES).for_each(|i| c.boot(i));
+        }
+        if n == 2 {
+            std::thread::sleep(Duration::from_secs(2));
+            c.outage(false);
+            c.until(0, "GET", "/up", None, |s, _| s == 200);
+            c.boot(2);
+        }
+        c.until(n, "GET", &format!("/v2/runs/{short}"), None, |_, v| v["mood"] == "done");
+        wait("the rest runs", || running(&seen) == all as usize);
+        check_records(&c, &before, &when);
+        before.check(&seen, &when);
+    }
+}
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -71,6 +71,9 @@
     /// Each node's way to the state service, and to each of the others.
     state: Vec<Gate>,
     links: Vec<Vec<Gate>>,
+    /// Where the controllers listen for each other, and for operators.
+    backs: Vec<SocketAddr>,
+    with: Vec<&'static str>,
 }
 
 /// A free port below those that the system gives to whoever asks for any:
@@ -86,9 +89,30 @@
     }
 }
 
+/// What a test may want otherwise.
+pub struct Options {
+    /// A worker's lease, and twice that for cancellations, in seconds.
+    pub lease_s: u32,
+    /// The team's limit.
+    pub team_cpus: u32,
+    /// Files that switch on parts.
+    pub with: Vec<&'static str>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { lease_s: 8, team_cpus: 40, with: Vec::new() }
+    }
+}
+
 impl Cluster {
     /// Starts `n` controllers; `name` keeps their files apart.
     pub fn start(n: usize, name: &str, seen: &Arc<Mutex<Seen>>) -> Cluster {
+        Cluster::start_with(n, name, seen, Options::default())
+    }
+
+    /// Starts `n` controllers as the options say.
+    pub fn start_with(n: usize, name: &str, seen: &Arc<Mutex<Seen>>, options: Options) -> Cluster {
         let users: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
         let backs: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
         let late = Arc::new(AtomicBool::new(false));
@@ -96,7 +120,7 @@
         let service = state_service(late.clone(), refused.clone());
         let state: Vec<Gate> = (0..n).map(|_| Gate::to(service)).collect();
         let links: Vec<Vec<Gate>> = (0..n).map(|_| backs.iter().map(|b| Gate::to(*b)).collect()).collect();
-        let cloud = cloud(users.clone(), seen.clone());
+        let cloud = cloud(users.clone(), seen.clone(), Duration::from_secs(u64::from(options.lease_s)));
         let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
         let mut configs = Vec::new();
         for i in 0..n {
@@ -113,12 +137,15 @@
             text += &format!("[services]\ncloud = \"{cloud}\"\nstate = \"{}\"\n", state[i].addr);
             text += &format!(
                 "[params]\ninitial_size = {n}\nzones = [\"e\", \"w\"]\ntime_bound_ms = 10.0\n\
-                [[params.teams]]\nname = \"t\"\ncpus_max = 40.0\n\
-                [params.workers]\nreport_s = 0.9\nlease_s = 8.0\ncancel_s = 16.0\n\
+                [[params.teams]]\nname = \"t\"\ncpus_max = {}.0\n\
+                [params.workers]\nreport_s = 0.9\nlease_s = {}.0\ncancel_s = {}.0\n\
                 [params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
                 [params.state.next]\nwrite_rps = 150.0\nvalue_kb = 1.0\ntxn_ops = 4\n\
                 [params.cloud]\nrps = 30.0\nlist_lag_s = 1.0\n\
-                [params.machine_limits]\ncore_share = 1.0\nram_mb = 200.0\nmax_connections = 500\n"
+                [params.machine_limits]\ncore_share = 1.0\nram_mb = 200.0\nmax_connections = 500\n",
+                options.team_cpus,
+                options.lease_s,
+                options.lease_s * 2
             );
             let path = dir.join(format!("{name}-{i}.toml"));
             std::fs::write(&path, text).expect("a settings file");
@@ -134,13 +161,17 @@
             refused,
             state,
             links,
+            backs,
+            with: options.with,
         };
         (0..n).for_each(|i| c.boot(i));
         c
     }
 
     pub fn boot(&mut self, i: usize) {
+        let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
         let child = Command::new(env!("CARGO_BIN_EXE_finchwood"))
+            .args(self.with.iter().flat_map(|file| ["--with".into(), root.join(file)]))
             .arg("--config")
             .arg(&self.configs[i])
             .stderr(Stdio::inherit())
@@ -176,6 +207,13 @@
         }
     }
 
+    /// What a controller says to an operator's question; nothing if it doesn't answer.
+    pub fn ask(&self, i: usize, path: &str) -> Value {
+        let answer = self.agent.get(&format!("http://{}{path}", self.backs[i])).call();
+        let text = answer.ok().and_then(|r| r.into_string().ok()).unwrap_or_default();
+        serde_json::from_str(&text).unwrap_or_default()
+    }
+
     pub fn call(
         &self,
         i: usize,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins of the outside systems, written for these tests: a state
-//! service, a cloud and its workers, each as small as the protocol allows.
+//! service, a cloud and its workers, each as small as the protocol allows. Shared by
+//! test files of which each uses some of it.
+#![allow(dead_code)]
 
 pub mod cluster;
 
@@ -189,12 +191,16 @@
     pub completed: BTreeSet<String>,
     /// Tasks that were killed with their worker's lease.
     pub lapsed: u32,
+    /// How often each task was started.
+    pub starts_of: BTreeMap<String, u32>,
+    /// Running tasks that were told to stop.
+    pub stopped: Vec<String>,
+    /// Machines that were deleted while tasks were on them.
+    pub deleted_in_use: Vec<String>,
 }
 
-/// A worker's lease, as the settings of the tests' clusters have it.
-pub const LEASE: Duration = Duration::from_secs(8);
-
 struct Worker {
+    lease: Duration,
     report: Value,
     ends: BTreeMap<String, Instant>,
     /// When the last report that was answered had been sent, or the session began.
@@ -204,7 +210,7 @@
 impl Worker {
     /// Kills and forgets everything when the lease is past.
     fn expire_lease(&mut self, seen: &mut Seen) {
-        if self.lease_from.elapsed() <= LEASE {
+        if self.lease_from.elapsed() <= self.lease {
             return;
         }
         let id = self.report["perch"].as_str().unwrap_or_default().to_string();
@@ -233,11 +239,13 @@
                         seen.twice.push(task.clone());
                     }
                     seen.starts += 1;
+                    *seen.starts_of.entry(task.clone()).or_default() += 1;
                     self.ends.insert(task, Instant::now() + run);
                 }
                 (Some("halt"), Some(i)) if lines[i]["mood"] == "running" => {
                     lines[i]["mood"] = "ended".into();
                     lines[i]["cause"] = "stopped".into();
+                    seen.stopped.push(task.clone());
                     seen.on.entry(task).or_default().retain(|m| *m != id);
                 }
                 (Some("reap"), Some(i)) if lines[i]["mood"] == "ended" => drop(lines.remove(i)),
@@ -247,9 +255,10 @@
     }
 }
 
-/// A cloud whose machines are up at once; their workers report to `nodes`.
+/// A cloud whose machines are up at once; their workers report to `nodes`, and have
+/// a lease of so long.
 /// Tasks of jobs whose id ends in an even digit take a moment to complete.
-pub fn cloud(nodes: Vec<SocketAddr>, seen: Shared<Seen>) -> SocketAddr {
+pub fn cloud(nodes: Vec<SocketAddr>, seen: Shared<Seen>, lease: Duration) -> SocketAddr {
     let count = Shared::<u32>::default();
     let machines: Shared<BTreeMap<String, Value>> = Shared::default();
     serve(move |method, url, body| {
@@ -265,7 +274,7 @@
                 for _ in 0..body["number"].as_u64().unwrap_or(0) {
                     *lock(&count) += 1;
                     let name = format!("m-{:06}", *lock(&count));
-                    start_worker(&name, &body, nodes.clone(), seen.clone(), machines.clone());
+                    start_worker(&name, &body, nodes.clone(), seen.clone(), machines.clone(), lease);
                     names.push(name);
                 }
                 (200, json!({"perches": names}))
@@ -274,7 +283,11 @@
                 for m in body["perches"].as_array().map(Vec::as_slice).unwrap_or_default() {
                     let name = m.as_str().unwrap_or_default();
                     lock(&machines).remove(name);
-                    lock(&seen).on.values_mut().for_each(|on| on.retain(|o| o != name));
+                    let mut seen = lock(&seen);
+                    if seen.on.values().any(|on| on.iter().any(|o| o == name)) {
+                        seen.deleted_in_use.push(name.into());
+                    }
+                    seen.on.values_mut().for_each(|on| on.retain(|o| o != name));
                 }
                 (200, json!({}))
             }
@@ -293,11 +306,13 @@
     nodes: Vec<SocketAddr>,
     seen: Shared<Seen>,
     machines: Shared<BTreeMap<String, Value>>,
+    lease: Duration,
 ) {
     let run = Duration::from_millis(1500);
     let report = json!({"perch": name, "address": "", "breed": rental["breed"], "grove": rental["grove"],
         "windfall": rental["windfall"], "flight": 1, "chirp": 0, "crest": 0, "warning_s": null, "chicks": []});
-    let worker = Arc::new(Mutex::new(Worker { report, ends: BTreeMap::new(), lease_from: Instant::now() }));
+    let worker =
+        Arc::new(Mutex::new(Worker { lease, report, ends: BTreeMap::new(), lease_from: Instant::now() }));
     let (w, s) = (worker.clone(), seen.clone());
     let addr = serve(move |method, url, body| {
         let mut w = lock(&w);
--- /dev/null
+++ b/tests/fleet_of_4000.rs
@@ -0,0 +1,321 @@
+//! Four thousand machines in the real cores, without a network: start, steady reports,
+//! change of leader, cold restart. What counts is counted: orders, messages and their
+//! sizes, never time.
+
+#[path = "common/settings.rs"]
+mod base;
+
+use finchwood::assignment::Leader;
+use finchwood::clock::When;
+use finchwood::fleet::{DirectRoom, Orders, Part, PartReport, ReportReply, Timing};
+use finchwood::http::largest_message;
+use finchwood::jobs::{Epoch, JobRecord, Mirror, RosterPage};
+use finchwood::membership::owner;
+use finchwood::pages::PageLimit;
+use finchwood::peer::{Envelope, Message};
+use finchwood::settings::Settings;
+use finchwood::wire::{Call, JobSpec, Report, TaskLine, TaskState};
+use serde_json::json;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+const MACHINES: usize = 4000;
+const NODES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const TIMING: Timing = Timing { report_s: 3.0, lease_s: 20.0, member_life_s: 8.0 };
+/// Jobs, and tasks of each: one task of four CPUs for each machine of 16, and more.
+const JOBS: u32 = 100;
+const TASKS: u32 = 120;
+
+/// Commands that workers were given.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+struct Given {
+    questions: usize,
+    starts: usize,
+    stops: usize,
+    reaps: usize,
+}
+
+struct Worker {
+    zone: &'static str,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<String, u64>,
+}
+
+impl Worker {
+    fn report(&mut self, id: &str) -> Report {
+        self.seq += 1;
+        let line = |(task, attempt): (&String, &u64)| TaskLine {
+            task: task.clone(),
+            attempt: *attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        };
+        Report {
+            machine: id.into(),
+            addr: id.into(),
+            kind: "k".into(),
+            zone: self.zone.into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(line).collect(),
+        }
+    }
+
+    fn obey(&mut self, token: u64, calls: &[Call], given: &mut Given) {
+        self.token = self.token.max(token);
+        given.questions += usize::from(calls.is_empty());
+        for call in calls {
+            match call {
+                Call::Start { task, attempt } => {
+                    given.starts += 1;
+                    self.tasks.insert(task.clone(), *attempt);
+                }
+                Call::Stop { task, .. } => {
+                    given.stops += 1;
+                    self.tasks.remove(task);
+                }
+                Call::Forget { .. } => given.reaps += 1,
+            }
+        }
+    }
+}
+
+/// All five controllers and the fleet.
+struct Fleet {
+    settings: Settings,
+    mirror: Mirror,
+    epoch: Epoch,
+    parts: Vec<Part>,
+    leader: Leader,
+    workers: BTreeMap<Arc<str>, Worker>,
+    largest: usize,
+}
+
+fn settings() -> Settings {
+    Settings::parse(&base::SETTINGS.replace("cpus_max = 400.0", "cpus_max = 0.0")).expect("settings")
+}
+
+fn catalog() -> serde_json::Value {
+    json!({"breeds": [{"name": "k", "cpus": 16.0, "accelerators": 0.0, "mem_gb": 128.0, "cache_gb": 9.0,
+        "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "ready_s": 20.0, "groves": ["e", "w"]}]})
+}
+
+fn spec(n: u32) -> JobSpec {
+    let shape = if n.is_multiple_of(3) { "standing" } else { "array" };
+    let text = json!({"id": format!("wk-{n:06}"), "flock": "f", "nest": "t", "shape": shape, "rank": "standard",
+        "chicks": TASKS, "cpus": 4.0, "accelerators": 0.0, "mem_gb": 8.0, "egg": "i", "size_gb": 1.0,
+        "one_zone": false, "scatter": shape == "standing", "windfall": true, "guess_s": 600.0, "molt_s": 0.0,
+        "stash_s": 0.0});
+    JobSpec::parse(text.to_string().as_bytes()).expect("a job")
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let settings = settings();
+        let mut mirror = Mirror::new(settings.params.state.value_kb);
+        mirror.put("fw/c", catalog(), 1);
+        let limit = settings.params.state.lowest_value_bytes();
+        let mut workers = BTreeMap::new();
+        let ids: Vec<Arc<str>> = (0..MACHINES).map(|i| format!("m-{i:06}").into()).collect();
+        for (n, (zone, chunk)) in ids
+            .chunks(PageLimit::new(limit).machines().min(50))
+            .enumerate()
+            .map(|(n, c)| (n, (["e", "w"][n % 2], c)))
+        {
+            let machines = chunk.iter().map(|id| (id.clone(), Some(id.clone()))).collect();
+            let page =
+                json!(RosterPage { kind: "k".into(), zone: zone.into(), spot: false, at_ms: 0, machines });
+            assert!(page.to_string().len() <= limit, "a page of {} machines", chunk.len());
+            mirror.put(&format!("fw/r/page-{n}"), page, 10 + n as u64);
+            for id in chunk {
+                let worker = Worker { zone, session: 1, seq: 0, token: 0, tasks: BTreeMap::new() };
+                workers.insert(id.clone(), worker);
+            }
+        }
+        for n in 0..JOBS {
+            let spec = Arc::new(spec(n));
+            let record = JobRecord {
+                tasks: spec.tasks,
+                spec: Some(spec.clone()),
+                epoch: 1,
+                at_ms: 0,
+                cancelled: false,
+                done: false,
+                cancelled_at_ms: None,
+            };
+            mirror.put(&format!("fw/j/{}", spec.id), json!(record), 1000 + u64::from(n));
+        }
+        let epoch = Epoch { n: 0, members: BTreeMap::new(), leader: "a".into() };
+        let leader = Leader::new(&settings);
+        let mut fleet = Fleet { settings, mirror, epoch, parts: Vec::new(), leader, workers, largest: 0 };
+        fleet.begin_cold(0.0);
+        fleet
+    }
+
+    /// All controllers are new, and know nothing.
+    fn begin_cold(&mut self, now: f64) {
+        self.parts = NODES.iter().map(|name| Part::new(name, TIMING, HashMap::new())).collect();
+        self.leader = Leader::new(&self.settings);
+        self.enter(now, 100 * (self.epoch.n + 1));
+    }
+
+    /// The next epoch, in which controllers have incarnations from `inc` on.
+    fn enter(&mut self, now: f64, inc: u64) {
+        self.epoch.n += 1;
+        self.epoch.members = NODES.iter().zip(inc..).map(|(name, inc)| (name.to_string(), inc)).collect();
+        let members = self.epoch.members.clone();
+        for (name, part) in NODES.iter().zip(&mut self.parts) {
+            let owns = |id: &str| owner(&members, id) == Some(*name);
+            part.enter(self.epoch.n, members[*name], &self.mirror, now, owns);
+        }
+        let _ = self.leader.enter(&self.epoch, members[&self.epoch.leader], &self.mirror);
+    }
+
+    /// A part's report as it goes over the wire; its size counts.
+    fn send(&mut self, report: PartReport) -> usize {
+        let envelope = Envelope {
+            from: report.node.clone(),
+            to: self.epoch.leader.clone(),
+            fresh: true,
+            hears: Vec::new(),
+            apart: Vec::new(),
+            called_off: Vec::new(),
+            message: Message::Part(report),
+        };
+        let bytes = envelope.encode();
+        self.largest = self.largest.max(bytes.len());
+        let Some(Envelope { message: Message::Part(report), .. }) = Envelope::decode(&bytes) else {
+            panic!("it is read as it was written");
+        };
+        self.leader.part_report(report, &self.mirror, 0.0);
+        bytes.len()
+    }
+
+    /// Parts report, the leader assigns, parts place. Returns the bytes of all reports.
+    fn round(&mut self, now: f64) -> usize {
+        let reports: Vec<PartReport> =
+            self.parts.iter_mut().map(|part| part.snapshot(&self.mirror, now)).collect();
+        let bytes = reports.into_iter().map(|report| self.send(report)).sum();
+        self.leader.resolve(&self.mirror, &|_| false);
+        self.leader.assign_tasks(&self.mirror, now, || true);
+        for (name, part) in NODES.iter().zip(&mut self.parts) {
+            let orders: Orders = self.leader.orders(name).expect("orders");
+            part.orders(&orders, &self.mirror, now);
+            part.place(&self.mirror, When { now, day_ms: 0 }, || true);
+        }
+        bytes
+    }
+
+    /// Every part asks and commands as many machines as it has room for, and all answer.
+    fn direct(&mut self, now: f64) -> Given {
+        let mut given = Given::default();
+        for part in &mut self.parts {
+            let room = DirectRoom { sound: 20, doubtful: 125 };
+            for direct in part.directs_within(&self.mirror, now, room) {
+                let worker = self.workers.get_mut(&direct.machine).expect("a worker");
+                if direct.body.session == worker.session && direct.body.token >= worker.token {
+                    worker.obey(direct.body.token, &direct.body.commands, &mut given);
+                } else {
+                    given.questions += 1;
+                }
+                let report = worker.report(&direct.machine);
+                part.direct_done(&direct.machine, &direct.body, Some(&report), &self.mirror, now);
+            }
+        }
+        given
+    }
+
+    /// Every worker reports once to its owner.
+    fn reports(&mut self, now: f64) -> Given {
+        let mut given = Given::default();
+        let members = self.epoch.members.clone();
+        for (id, worker) in &mut self.workers {
+            let name = owner(&members, id).expect("an owner");
+            let part = &mut self.parts[NODES.iter().position(|n| *n == name).expect("a node")];
+            let report = worker.report(id);
+            if let ReportReply::Commands { token, commands } = part.report(&report, false, &self.mirror, now)
+            {
+                worker.obey(token, &commands, &mut given);
+            }
+        }
+        given.questions = 0;
+        given
+    }
+
+    fn tasks(&self) -> usize {
+        self.workers.values().map(|worker| worker.tasks.len()).sum()
+    }
+
+    /// Asks until nothing is in doubt; returns the commands and in how many turns.
+    fn settle(&mut self, now: f64) -> (Given, usize) {
+        let mut all = Given::default();
+        for turn in 1..40 {
+            let given = self.direct(now + turn as f64 * 0.05);
+            self.round(now + turn as f64 * 0.05);
+            all.questions += given.questions;
+            all.starts += given.starts;
+            all.stops += given.stops;
+            all.reaps += given.reaps;
+            if self.leader.resolved() && self.leader.counts().2 == 0 {
+                return (all, turn);
+            }
+        }
+        panic!("doubt remains: {:?}", self.leader.counts());
+    }
+}
+
+#[test]
+fn four_thousand_machines_start_go_on_change_leaders_and_come_back() {
+    let mut fleet = Fleet::new();
+    let all = (JOBS * TASKS) as usize;
+    // Start: every machine is asked, then everything is placed.
+    fleet.settle(0.0);
+    for turn in 0..6 {
+        let now = 3.0 + f64::from(turn) * 3.0;
+        fleet.reports(now);
+        fleet.round(now);
+    }
+    fleet.reports(22.0);
+    fleet.round(22.0);
+    assert_eq!(fleet.tasks(), all, "all of it runs");
+    // Steady reports: nothing is told that has not changed, and nothing is ordered.
+    fleet.reports(24.0);
+    fleet.round(24.0);
+    let whole = fleet.largest;
+    assert_eq!(fleet.reports(26.0), Given::default());
+    let steady = fleet.round(26.0);
+    assert!(steady < MACHINES, "{steady} bytes of five reports in which nothing is new");
+    // Change of leader: the parts live on.
+    fleet.largest = 0;
+    fleet.epoch.leader = "b".into();
+    fleet.leader = Leader::new(&fleet.settings);
+    fleet.enter(27.0, fleet.epoch.members["a"]);
+    let (given, turns) = fleet.settle(27.0);
+    assert_eq!((given.starts, given.stops, given.reaps), (0, 0, 0), "change of leader");
+    println!("change of leader: {given:?} in {turns} turns, largest message {} bytes", fleet.largest);
+    // Cold restart: nobody knows anything.
+    fleet.largest = 0;
+    fleet.begin_cold(30.0);
+    let (given, turns) = fleet.settle(30.0);
+    assert_eq!((given.starts, given.stops, given.reaps), (0, 0, 0), "cold restart");
+    assert!(given.questions <= 3 * MACHINES, "{} questions", given.questions);
+    println!(
+        "cold restart: {given:?}, {:.2} orders for each of {all} adopted tasks, in {turns} turns, largest message {} bytes",
+        given.questions as f64 / all as f64,
+        fleet.largest
+    );
+    // Two of five hold all: their messages still fit.
+    let biggest = fleet.largest.max(whole) * 5 / 2;
+    let limit = largest_message(fleet.settings.params.machine_limits.ram_mb);
+    assert!(biggest < limit, "{biggest} bytes of {limit}");
+    fleet.reports(33.0);
+    fleet.round(33.0);
+    assert_eq!(fleet.reports(36.0), Given::default());
+    assert_eq!(fleet.tasks(), all, "and all of it runs on");
+}
