--- /dev/null
+++ b/crates/shares/src/knowledge.rs
@@ -0,0 +1,84 @@
+//! What a giver knows of a machine, as it goes over to the taker. Times go over as ages:
+//! no two controllers have the same clock.
+
+use finchwood_model::wire::{MachineId, Task, TaskState};
+use finchwood_reconcile::machine::MachineState;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A machine as its worker last showed it, and what may be under way to it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineKnowledge {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub kind: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Whether the cloud may take it back at any time.
+    pub spot: bool,
+    /// Where its worker takes commands.
+    pub addr: Option<Arc<str>>,
+    /// On the roster.
+    pub listed: bool,
+    /// Marked there as used.
+    pub up: bool,
+    /// What is known of its content.
+    pub state: MachineState,
+    /// Its worker's session, and the number of its newest report.
+    pub session: u64,
+    /// The number of the newest report taken in.
+    pub seq: u64,
+    /// The counter of the highest token that any command to it carries.
+    pub counter: u64,
+    /// Sessions up to this one are over.
+    pub over: u64,
+    /// How long ago it was last heard; none if never in this epoch.
+    pub heard_ago_s: Option<f64>,
+    /// How long ago its present session was first seen.
+    pub session_seen_ago_s: f64,
+    /// In how many seconds it will be taken away, if that is known.
+    pub notice_in_s: Option<f64>,
+    /// The tasks that it last showed.
+    pub lines: Vec<LineKnowledge>,
+    /// The tasks that its owner holds there.
+    pub held: Vec<TaskKnowledge>,
+    /// Images that are likely there, and their sizes.
+    pub images: Vec<(Arc<str>, f64)>,
+}
+
+/// A task that a machine showed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LineKnowledge {
+    /// The task.
+    pub task: Task,
+    /// Its attempt.
+    pub attempt: u64,
+    /// What it did.
+    pub state: TaskState,
+    /// Why it ended.
+    pub why: Option<String>,
+}
+
+/// A task that the owner holds on a machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskKnowledge {
+    /// The task.
+    pub task: Task,
+    /// Its attempt.
+    pub attempt: u64,
+    /// Its assignment.
+    pub assignment: u64,
+    /// The session in which it was started.
+    pub session: u64,
+    /// The token of its last start; the highest number while none can be under way.
+    pub start_token: u64,
+    /// It was seen there.
+    pub confirmed: bool,
+    /// It has completed.
+    pub done: bool,
+    /// It is to be stopped.
+    pub stopping: bool,
+    /// How long it has been doing what it does.
+    pub for_s: f64,
+}
--- /dev/null
+++ b/crates/shares/src/plan.rs
@@ -0,0 +1,94 @@
+//! What operators ask for: controllers to be emptied, and machines to be moved.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use thiserror::Error;
+
+/// A plan. It replaces the one before.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Controllers whose machines all go to others.
+    #[serde(default)]
+    pub drain: Vec<String>,
+    /// Moves of some machines, once each.
+    #[serde(default)]
+    pub moves: Vec<PlannedMove>,
+}
+
+/// Some machines of one controller that are to go to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlannedMove {
+    /// Their owner.
+    pub from: String,
+    /// Their owner to be.
+    pub to: String,
+    /// How many.
+    pub machines: usize,
+}
+
+/// Why a plan is refused, whole.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum PlanError {
+    /// It names a controller that is not there.
+    #[error("plan: no such controller: {0}")]
+    UnknownController(String),
+    /// It moves machines to their owner.
+    #[error("plan: from {0} to itself")]
+    ToItself(String),
+    /// It moves no machines.
+    #[error("plan: no machines from {0} to {1}")]
+    NoMachines(String, String),
+    /// It names the same pair, or controller to be emptied, twice.
+    #[error("plan: {0} is named twice")]
+    Twice(String),
+    /// It moves machines to a controller that it empties.
+    #[error("plan: moves machines to {0}, which is to be emptied")]
+    ToDrained(String),
+    /// It empties every controller.
+    #[error("plan: nobody is left to take the machines")]
+    NobodyLeft,
+}
+
+impl Plan {
+    /// Whether the plan makes sense among `members`.
+    pub fn check(&self, members: &BTreeSet<String>) -> Result<(), PlanError> {
+        let mut drained = BTreeSet::new();
+        for name in &self.drain {
+            known(name, members)?;
+            if !drained.insert(name) {
+                return Err(PlanError::Twice(name.clone()));
+            }
+        }
+        if !drained.is_empty() && drained.len() >= members.len() {
+            return Err(PlanError::NobodyLeft);
+        }
+        let mut pairs = BTreeSet::new();
+        for wanted in &self.moves {
+            let PlannedMove { from, to, machines } = wanted;
+            known(from, members)?;
+            known(to, members)?;
+            if from == to {
+                return Err(PlanError::ToItself(from.clone()));
+            }
+            if *machines == 0 {
+                return Err(PlanError::NoMachines(from.clone(), to.clone()));
+            }
+            if drained.contains(to) {
+                return Err(PlanError::ToDrained(to.clone()));
+            }
+            if !pairs.insert((from, to)) {
+                return Err(PlanError::Twice(format!("{from} to {to}")));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn known(name: &str, members: &BTreeSet<String>) -> Result<(), PlanError> {
+    if members.contains(name) {
+        return Ok(());
+    }
+    Err(PlanError::UnknownController(name.into()))
+}
--- /dev/null
+++ b/crates/shares/tests/tables.rs
@@ -0,0 +1,207 @@
+//! The table against a slow plain model that keeps the owner of every position, and plans
+//! and planners that must come to an end.
+
+use finchwood_shares::handover::{HandoverReport, Handovers, MoveReason};
+use finchwood_shares::plan::{Plan, PlanError, PlannedMove};
+use finchwood_shares::planner::{Fleet, OwnedMachine, Planner, PlannerLimits};
+use finchwood_shares::position::position;
+use finchwood_shares::table::{ShareError, ShareRange, ShareTable, StoredTable};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const NODES: [&str; 3] = ["a", "b", "c"];
+
+fn range(home: &str, first: u64, last: u64) -> ShareRange {
+    ShareRange { home: home.into(), first, last }
+}
+
+fn machines(n: usize) -> Vec<(String, String)> {
+    (0..n).map(|i| (format!("m-{i:04}"), NODES[i % 3].to_string())).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(24),
+        ..ProptestConfig::default()
+    })]
+
+    /// Any sequence of moves: every machine has the owner that the plain model says, no
+    /// two shares overlap, and the table is the same once written and read.
+    #[test]
+    fn the_table_is_what_a_plain_model_says(
+        moves in prop::collection::vec((0..3usize, any::<u64>(), any::<u64>(), 0..3usize), 0..25),
+    ) {
+        let machines = machines(60);
+        let mut table = ShareTable::default();
+        let mut plain: BTreeMap<&str, &str> = machines.iter().map(|(id, home)| (id.as_str(), home.as_str())).collect();
+        for (n, (home, a, b, owner)) in moves.iter().enumerate() {
+            let range = range(NODES[*home], *a.min(b), *a.max(b));
+            table = table.moved(&range, NODES[*owner]);
+            for (id, home) in machines.iter().filter(|(id, home)| range.contains(home, position(id))) {
+                plain.insert(id, if home == NODES[*owner] { home } else { NODES[*owner] });
+            }
+            prop_assert_eq!(table.generation, n as u64 + 1);
+            prop_assert!(table.sole_owner(&range) == Some(NODES[*owner]));
+            for (id, home) in &machines {
+                let owner = table.owner(home, id).unwrap_or(home);
+                prop_assert_eq!(owner, plain[id.as_str()], "{}", id);
+            }
+        }
+        let shares: Vec<&ShareRange> = table.shares().map(|(range, _)| range).collect();
+        for (n, share) in shares.iter().enumerate() {
+            prop_assert!(!shares[n + 1..].iter().any(|other| other.overlaps(share)));
+        }
+        let text = serde_json::to_string(&table.stored()).expect("text");
+        let stored: StoredTable = serde_json::from_str(&text).expect("a table");
+        prop_assert_eq!(ShareTable::read(&stored), (table, Vec::new()));
+    }
+
+    /// Whatever the planner is asked, each move it wants has one owner, and carried out one
+    /// after the other they come to an end: no flapping.
+    #[test]
+    fn plans_are_carried_out_and_come_to_an_end(
+        fleet_size in 1..50usize,
+        drained in prop::option::of(0..3usize),
+        moved in prop::collection::vec((0..3usize, 0..3usize, 1..20usize), 0..3),
+    ) {
+        let members: BTreeSet<String> = NODES.iter().map(ToString::to_string).collect();
+        let machines = machines(fleet_size);
+        let limits = PlannerLimits {
+            machines_per_move: 5, moves_per_minute: 60.0, imbalance: 0.3, most_shares: 100, rest_s: 60.0,
+        };
+        let plan = Plan {
+            drain: drained.iter().map(|n| NODES[*n].to_string()).collect(),
+            moves: moved.iter().filter(|m| m.0 != m.1).map(|(from, to, machines)| PlannedMove {
+                from: NODES[*from].into(), to: NODES[*to].into(), machines: *machines,
+            }).collect(),
+        };
+        let mut planner = Planner::new(limits, 0.0);
+        let drains = plan.drain.clone();
+        planner.set_plan(plan);
+        let mut table = ShareTable::default();
+        let mut quiet = 0;
+        for turn in 0..400 {
+            let owned: Vec<OwnedMachine> = machines.iter().map(|(id, home)| OwnedMachine {
+                home: home.clone(), position: position(id), owner: table.owner(home, id).unwrap_or(home).into(),
+            }).collect();
+            let fleet = Fleet { members: &members, machines: &owned, table: &table };
+            match planner.next(fleet, &Handovers::default(), f64::from(turn)) {
+                Some(wanted) => {
+                    prop_assert_eq!(table.sole_owner(&wanted.range), Some(wanted.giver.as_str()));
+                    prop_assert!(!drains.contains(&wanted.taker) || wanted.reason == MoveReason::Plan);
+                    table = table.moved(&wanted.range, &wanted.taker);
+                    quiet = 0;
+                }
+                None => quiet += 1,
+            }
+        }
+        prop_assert!(quiet > 100, "it goes on for ever");
+        for name in &drains {
+            let left = machines.iter().filter(|(id, home)| table.owner(home, id).unwrap_or(home) == name).count();
+            prop_assert_eq!(left, 0, "{} is not emptied", name);
+        }
+    }
+}
+
+#[test]
+fn stored_shares_that_make_no_sense_leave_the_decision_to_the_hash() {
+    let text = r#"{"g": 7, "s": [["a", "0", "ff", "b"], ["a", "80", "1ff", "c"], ["b", "9", "3", "a"],
+        ["c", "x", "1", "a"], ["", "0", "1", "a"], ["c", "0", "ffffffffffffffff", "a"]]}"#;
+    let (table, errors) = ShareTable::read(&serde_json::from_str(text).expect("a table"));
+    assert_eq!(table.generation, 7);
+    assert_eq!(table.shares().collect::<Vec<_>>(), [(&ShareRange::whole("c"), "a")]);
+    let (first, second) = (range("a", 0, 0xff), range("a", 0x80, 0x1ff));
+    for error in [
+        ShareError::NoRange(2),
+        ShareError::NoRange(3),
+        ShareError::NoRange(4),
+        ShareError::Overlap(first.clone(), second.clone()),
+        ShareError::Overlap(second, first),
+    ] {
+        assert!(errors.contains(&error), "{error}");
+    }
+}
+
+#[test]
+fn plans_that_make_no_sense_are_refused_whole() {
+    let members: BTreeSet<String> = NODES.iter().map(ToString::to_string).collect();
+    let plan = |text: &str| serde_json::from_str::<Plan>(text).expect("a plan").check(&members);
+    let text = |name: &str| name.to_string();
+    let bad = [
+        (r#"{"drain": ["x"]}"#, PlanError::UnknownController(text("x"))),
+        (r#"{"drain": ["a", "a"]}"#, PlanError::Twice(text("a"))),
+        (r#"{"drain": ["a", "b", "c"]}"#, PlanError::NobodyLeft),
+        (r#"{"moves": [{"from": "a", "to": "y", "machines": 1}]}"#, PlanError::UnknownController(text("y"))),
+        (r#"{"moves": [{"from": "a", "to": "a", "machines": 1}]}"#, PlanError::ToItself(text("a"))),
+        (
+            r#"{"moves": [{"from": "a", "to": "b", "machines": 0}]}"#,
+            PlanError::NoMachines(text("a"), text("b")),
+        ),
+        (
+            r#"{"drain": ["b"], "moves": [{"from": "a", "to": "b", "machines": 3}]}"#,
+            PlanError::ToDrained(text("b")),
+        ),
+    ];
+    for (text, error) in bad {
+        assert_eq!(plan(text), Err(error.clone()), "{text}");
+        assert_eq!(error.to_string().lines().count(), 1);
+    }
+    assert_eq!(plan(r#"{"drain": ["a"], "moves": [{"from": "a", "to": "b", "machines": 3}]}"#), Ok(()));
+    assert!(serde_json::from_str::<Plan>(r#"{"dreain": ["a"]}"#).is_err(), "an unknown field");
+}
+
+/// Foreign, late and repeated messages move no handover.
+#[test]
+fn only_the_side_that_is_asked_takes_a_step() {
+    let wanted = finchwood_shares::handover::WantedMove {
+        range: range("a", 0, 99),
+        giver: "a".into(),
+        taker: "b".into(),
+        reason: MoveReason::Plan,
+    };
+    let mut all = Handovers::default();
+    assert!(all.begin(wanted.clone(), 0.0));
+    assert!(!all.begin(wanted.clone(), 0.0), "it is moving already");
+    let report = |accepted: &[u64], fenced: &[u64], taken: &[u64]| HandoverReport {
+        accepted: accepted.to_vec(),
+        fenced: fenced.iter().map(|id| (*id, Vec::new())).collect(),
+        taken: taken.to_vec(),
+    };
+    let state = |all: &Handovers| all.under_way().next().map(|h| format!("{:?}", h.state));
+    all.take_in("b", report(&[], &[1], &[1]), 1.0);
+    all.take_in("a", report(&[1], &[1], &[1]), 1.0);
+    all.take_in("c", report(&[1], &[1], &[1]), 1.0);
+    assert_eq!(state(&all).as_deref(), Some("Offered"));
+    all.take_in("b", report(&[1, 9], &[], &[]), 1.0);
+    all.take_in("b", report(&[1], &[1], &[1]), 1.0);
+    assert_eq!(state(&all).as_deref(), Some("Accepted"));
+    all.take_in("a", report(&[], &[1], &[]), 2.0);
+    assert_eq!(state(&all).as_deref(), Some("Fenced"));
+    // Written, with an answer that is lost: nothing withdraws it, and it is written again.
+    let table = ShareTable::default();
+    let write = all.to_write(&table, 3.0).expect("a write");
+    all.withdraw_stale(1.0, 100.0);
+    assert_eq!(all.to_write(&table, 100.0), Some(write.clone()));
+    all.table_is(&table, 101.0);
+    assert_eq!(state(&all).as_deref(), Some("Committing"));
+    all.table_is(&write.table, 102.0);
+    assert_eq!(state(&all).as_deref(), Some("Committed"));
+    all.take_in("a", report(&[], &[], &[1]), 103.0);
+    assert_eq!(state(&all).as_deref(), Some("Committed"));
+    all.take_in("b", report(&[], &[], &[1]), 103.0);
+    assert_eq!(state(&all), None);
+    // One that nobody answers is withdrawn, and one that is refused for certain.
+    assert!(all.begin(wanted.clone(), 200.0));
+    all.withdraw_stale(5.0, 204.0);
+    assert!(state(&all).is_some());
+    all.withdraw_stale(5.0, 206.0);
+    assert_eq!(state(&all), None);
+    assert!(all.begin(wanted, 300.0));
+    all.take_in("b", report(&[3], &[], &[]), 301.0);
+    all.take_in("a", report(&[], &[3], &[]), 301.0);
+    all.to_write(&write.table, 302.0);
+    all.refused(303.0);
+    assert_eq!(state(&all), None);
+}
