--- a/crates/shares/src/handover.rs
+++ b/crates/shares/src/handover.rs
@@ -85,7 +85,18 @@
     /// To the giver: no more orders to these machines. It ends when it is no longer told.
     Fence { id: HandoverId, range: ShareRange },
     /// To the taker: go on from this, once the table of that generation is seen.
-    Take { id: HandoverId, generation: u64, machines: Vec<MachineKnowledge> },
+    Take { id: HandoverId, range: ShareRange, generation: u64, machines: Vec<MachineKnowledge> },
+}
+
+impl HandoverOrder {
+    /// The handover that it is about.
+    pub fn id(&self) -> HandoverId {
+        match self {
+            HandoverOrder::Offer { id }
+            | HandoverOrder::Fence { id, .. }
+            | HandoverOrder::Take { id, .. } => *id,
+        }
+    }
 }
 
 /// What a controller tells the leader of its handovers.
@@ -97,6 +108,9 @@
     /// Shares to whose machines it gives no orders, and what it knows of them.
     #[serde(default)]
     pub fenced: Vec<(HandoverId, Vec<MachineKnowledge>)>,
+    /// Shares that it has let go of, as the table names their taker.
+    #[serde(default)]
+    pub released: Vec<HandoverId>,
     /// Shares with which it goes on.
     #[serde(default)]
     pub taken: Vec<HandoverId>,
@@ -105,7 +119,10 @@
 impl HandoverReport {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.accepted.is_empty() && self.fenced.is_empty() && self.taken.is_empty()
+        self.accepted.is_empty()
+            && self.fenced.is_empty()
+            && self.released.is_empty()
+            && self.taken.is_empty()
     }
 }
 
@@ -128,6 +145,11 @@
     /// The generation of the table that names the taker; 0 before.
     #[serde(skip)]
     committed: u64,
+    /// The giver has let go, the taker goes on.
+    #[serde(skip)]
+    released: bool,
+    #[serde(skip)]
+    taken: bool,
 }
 
 /// A change of the table that is to be written.
@@ -170,8 +192,16 @@
         }
         self.numbers += 1;
         let state = HandoverState::Offered;
-        let handover =
-            Handover { wanted, state, since: now, began: now, knowledge: Vec::new(), committed: 0 };
+        let handover = Handover {
+            wanted,
+            state,
+            since: now,
+            began: now,
+            knowledge: Vec::new(),
+            committed: 0,
+            released: false,
+            taken: false,
+        };
         self.under_way.insert(self.numbers, handover);
         true
     }
@@ -185,6 +215,7 @@
                 HandoverState::Offered if wanted.taker == node => orders.push(HandoverOrder::Offer { id }),
                 HandoverState::Committed if wanted.taker == node => orders.push(HandoverOrder::Take {
                     id,
+                    range: wanted.range.clone(),
                     generation: handover.committed,
                     machines: handover.knowledge.clone(),
                 }),
@@ -214,12 +245,24 @@
                 }
             }
         }
-        for id in report.taken {
-            let there = self.under_way.get(&id);
-            if there.is_some_and(|h| h.state == HandoverState::Committed && h.wanted.taker == node) {
-                self.end(id, HandoverEnd::Owned, now);
+        let committed = |h: &&mut Handover| h.state == HandoverState::Committed;
+        for id in &report.released {
+            if let Some(handover) = self.under_way.get_mut(id).filter(committed) {
+                handover.released |= handover.wanted.giver == node;
+            }
+        }
+        for id in &report.taken {
+            if let Some(handover) = self.under_way.get_mut(id).filter(committed) {
+                handover.taken |= handover.wanted.taker == node;
             }
         }
+        // Guard: a giver that has not seen the table yet must go on being told to give no
+        // orders.
+        let over = |(id, h): (&HandoverId, &Handover)| (h.released && h.taken).then_some(*id);
+        let ids: Vec<HandoverId> = self.under_way.iter().filter_map(over).collect();
+        for id in ids {
+            self.end(id, HandoverEnd::Owned, now);
+        }
     }
 
     /// Takes one step, if the handover is in state `from` and `node` is who takes it.
--- a/crates/shares/src/knowledge.rs
+++ b/crates/shares/src/knowledge.rs
@@ -73,6 +73,8 @@
     pub session: u64,
     /// The token of its last start; the highest number while none can be under way.
     pub start_token: u64,
+    /// A start of it has been sent.
+    pub sent: bool,
     /// It was seen there.
     pub confirmed: bool,
     /// It has completed.
--- a/crates/shares/tests/tables.rs
+++ b/crates/shares/tests/tables.rs
@@ -167,6 +167,7 @@
     let report = |accepted: &[u64], fenced: &[u64], taken: &[u64]| HandoverReport {
         accepted: accepted.to_vec(),
         fenced: fenced.iter().map(|id| (*id, Vec::new())).collect(),
+        released: Vec::new(),
         taken: taken.to_vec(),
     };
     let state = |all: &Handovers| all.under_way().next().map(|h| format!("{:?}", h.state));
@@ -191,6 +192,11 @@
     all.take_in("a", report(&[], &[], &[1]), 103.0);
     assert_eq!(state(&all).as_deref(), Some("Committed"));
     all.take_in("b", report(&[], &[], &[1]), 103.0);
+    assert_eq!(state(&all).as_deref(), Some("Committed"), "its giver has not let go yet");
+    let released = HandoverReport { released: vec![1], ..HandoverReport::default() };
+    all.take_in("b", released.clone(), 104.0);
+    assert!(state(&all).is_some());
+    all.take_in("a", released, 104.0);
     assert_eq!(state(&all), None);
     // One that nobody answers is withdrawn, and one that is refused for certain.
     assert!(all.begin(wanted.clone(), 200.0));
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -223,7 +223,9 @@
         // was assigned to them is theirs still, or nowhere. Without this, one
         // controller's return left all that a cut zone had lost in doubt until
         // the last machine of the zone had been heard.
-        let nobody_new = stays && e.members.keys().all(|m| self.members.contains_key(m));
+        // Guard: where shares have moved, a part that lives on may have handed machines over.
+        let by_hash = mirror.shares.is_empty();
+        let nobody_new = stays && by_hash && e.members.keys().all(|m| self.members.contains_key(m));
         let same = |m: &&String| nobody_new && self.members.get(*m) == e.members.get(*m);
         let steady: BTreeSet<String> = e.members.keys().filter(same).cloned().collect();
         self.epoch = e.n;
--- a/src/assignment/orders.rs
+++ b/src/assignment/orders.rs
@@ -58,6 +58,7 @@
             drain: self.drain.union(&self.faulty).cloned().collect(),
             running,
             borrowing: self.borrowing.clone(),
+            handovers: Vec::new(),
         })
     }
 }
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -34,6 +34,7 @@
         if now - self.pace.reviewed_fleet > report_s / 12.0 {
             self.pace.reviewed_fleet = now;
             self.rent_and_return(now);
+            self.move_shares(now);
             self.log_state(now);
         }
     }
--- a/src/controller/mirror_feed.rs
+++ b/src/controller/mirror_feed.rs
@@ -63,6 +63,7 @@
                     self.machine_changed(&id, now);
                 }
             }
+            Change::Shares => self.shares_changed(now),
             Change::Members | Change::Catalog | Change::Nothing => {}
         }
     }
@@ -77,10 +78,7 @@
     pub(super) fn machine_changed(&mut self, id: &MachineId, now: Secs) {
         match self.mirror.roster.get(id) {
             Some((record, _)) => {
-                let mine = self
-                    .my_epoch()
-                    .is_some_and(|e| membership::owner(&e.members, id) == Some(&self.settings.node_name));
-                if mine {
+                if self.owner_of(id) == Some(&self.settings.node_name) {
                     self.part.list(id, &record.clone(), now);
                 }
             }
@@ -99,15 +97,16 @@
             return;
         }
         tracing::info!(epoch = epoch.n, leader = %epoch.leader, members = epoch.members.len(), "entered an epoch");
-        let members = epoch.members.clone();
+        let shares = self.mirror.shares.clone();
         if self.part.epoch() != epoch.n {
             self.part.enter(epoch.n, self.inc, &self.mirror, now, |id| {
-                membership::owner(&members, id) == Some(me.as_str())
+                membership::owner_by_shares(&epoch, &shares, id) == Some(me.as_str())
             });
         }
         if epoch.leader == self.settings.node_name {
             let kept = self.leader.enter(&epoch, self.inc, &self.mirror);
             self.began_to_lead(kept, now);
+            self.forget_handovers(now);
             self.renting.lead(now);
             self.roster.lead();
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -11,6 +11,7 @@
 mod renting;
 mod restart;
 mod roster;
+mod shares;
 mod users;
 mod worker_reports;
 
@@ -24,9 +25,11 @@
 use crate::membership::{self, LeaseNews};
 use crate::peer::{CancellationNotice, Message, Peers};
 use crate::policy::Policy;
+use crate::published::Published;
 use crate::reachability::Reachability;
-use crate::restart_report::Published;
+use crate::restart_report::RestartReport;
 use crate::settings::Settings;
+use crate::shares_report::SharesReport;
 use crate::state::{self, Budget, Feed, Outcome, Writer};
 use crate::wire::{JobId, MachineId};
 use crate::with::Parts;
@@ -36,6 +39,7 @@
 use renting::Renting;
 use restart::Restart;
 use roster::Roster;
+use shares::Shares;
 use std::collections::HashMap;
 use std::time::Duration;
 use users::Users;
@@ -68,6 +72,7 @@
     Finish(JobId, Serial),
     Roster(Serial),
     Catalog,
+    Shares,
 }
 
 enum Msg {
@@ -96,6 +101,8 @@
     leader: Leader,
     /// Caution and the record of a restart, if they are switched on.
     restart: Option<Restart>,
+    /// Shares that move, if that is switched on.
+    shares: Option<Shares>,
     users: Users,
     renting: Renting,
     pace: LeaderPace,
@@ -131,12 +138,16 @@
 
 /// Starts a controller; returns only if it can't run.
 pub fn run(settings: Settings, policy: Policy, parts: &Parts) -> Result<(), String> {
-    let published = Published::new(parts.cold_restart.is_some());
+    let published = (
+        Published::new("cold-restart", parts.cold_restart.is_some()),
+        Published::new("shared-machines", parts.shared_machines.is_some()),
+    );
     let (tx, rx) = bounded::<Msg>(8192);
     for back in [false, true] {
         let (tx, published) = (tx.clone(), published.clone());
         http::listen(&settings, back, move |ask, reply| match ask {
-            Ask::RestartReport => published.answer(reply),
+            Ask::RestartReport => published.0.answer(reply),
+            Ask::SharesReport => published.1.answer(reply),
             // A full queue drops the reply, which then says 503.
             ask => drop(tx.try_send(Msg::Ask(ask, reply))),
         })
@@ -152,7 +163,7 @@
         settings: Settings,
         policy: Policy,
         parts: &Parts,
-        published: Published,
+        (published, shares_published): (Published<RestartReport>, Published<SharesReport>),
         tx: &Sender<Msg>,
     ) -> Controller {
         let budget = Budget::new(&settings);
@@ -160,7 +171,9 @@
         let to = tx.clone();
         state::poller(&settings, budget.clone(), kicked, move |f| to.send(Msg::Feed(f)).is_ok());
         let to = tx.clone();
-        membership::lease_actor(&settings, budget.clone(), move |l| to.send(Msg::Lease(l)).is_ok());
+        membership::lease_actor(&settings, budget.clone(), parts.shared_machines.is_some(), move |l| {
+            to.send(Msg::Lease(l)).is_ok()
+        });
         let to = tx.clone();
         let writer = Writer::start(&settings, budget, move |t, o| to.send(Msg::Written(t, o)).is_ok());
         let to = tx.clone();
@@ -186,12 +199,15 @@
         let others = settings.members.iter().map(|m| (m.node_name.clone(), m.zone.clone())).collect();
         let mut part = Part::new(&settings.node_name, timing, settings.start_aims());
         let restart = parts.cold_restart.as_ref().map(|with| Restart::new(with, &settings, published));
+        let shares =
+            parts.shared_machines.as_ref().map(|with| Shares::new(with, &settings, shares_published));
         if let Some(with) = &parts.cold_restart {
             part.keep_record(with.entries);
         }
         Controller {
             part,
             restart,
+            shares,
             leader: Leader::new(&settings),
             mirror: Mirror::new(settings.params.state.value_kb),
             peers: Peers::start(&settings, {
@@ -323,7 +339,8 @@
                 self.peer(*envelope, now);
             }
             // Answered by the listener, from what was published last.
-            Ask::RestartReport => reply.later(503, 1, "no report yet"),
+            Ask::RestartReport | Ask::SharesReport => reply.later(503, 1, "no report yet"),
+            Ask::SharesPlan(plan) => self.take_plan(plan, reply),
         }
     }
 
@@ -358,6 +375,7 @@
             self.tell_leader(now);
         }
         self.publish_restart(now);
+        self.publish_shares(now);
         if now - self.tidied > self.settings.params.workers.report_s {
             self.tidied = now;
             self.part.forget_what_is_over(&self.mirror, now);
@@ -389,6 +407,7 @@
             Tag::Finish(job, serial) => self.finish_written(&job, serial, outcome, now),
             Tag::Roster(serial) => self.roster_written(serial, outcome, now),
             Tag::Catalog => self.renting.catalog_written(),
+            Tag::Shares => self.shares_written(outcome, now),
         }
     }
 }
--- a/src/controller/peers.rs
+++ b/src/controller/peers.rs
@@ -3,7 +3,7 @@
 
 use super::Controller;
 use crate::clock::{self, Secs};
-use crate::fleet::Orders;
+use crate::fleet::{Orders, PartReport};
 use crate::peer::{Envelope, Message};
 
 impl Controller {
@@ -28,16 +28,22 @@
             return;
         }
         match e.message {
-            Message::Part(r) => {
-                if self.leading() && self.leader.part_report(r, &self.mirror, now) {
-                    self.send_orders(&e.from);
-                }
-            }
+            Message::Part(r) => self.take_part_report(r, now),
             Message::Orders(o) => self.take_orders(&o, now),
             Message::Hello => {}
         }
     }
 
+    /// The leader takes in a part's report, and answers it with orders.
+    fn take_part_report(&mut self, mut report: PartReport, now: Secs) {
+        let handovers = std::mem::take(&mut report.handovers);
+        let from = report.node.clone();
+        if self.leading() && self.leader.part_report(report, &self.mirror, now) {
+            self.take_handover_report(&from, handovers, now);
+            self.send_orders(&from);
+        }
+    }
+
     pub(super) fn take_orders(&mut self, o: &Orders, now: Secs) {
         if o.epoch == self.part.epoch() {
             self.part.orders(o, &self.mirror, now);
@@ -48,7 +54,8 @@
     }
 
     pub(super) fn send_orders(&mut self, to: &str) {
-        if let Some(orders) = self.leader.orders(to) {
+        if let Some(mut orders) = self.leader.orders(to) {
+            orders.handovers = self.handover_orders(to);
             if to == self.settings.node_name {
                 self.take_orders(&orders, clock::now());
             } else {
@@ -81,9 +88,7 @@
         snapshot.met =
             self.redirected.iter().filter_map(|(id, p)| Some((id.clone(), now - p.met?))).collect();
         if leader == self.settings.node_name {
-            if self.leader.part_report(snapshot, &self.mirror, now) {
-                self.send_orders(&leader);
-            }
+            self.take_part_report(snapshot, now);
         } else {
             self.send_peer(&leader, Message::Part(snapshot));
         }
--- a/src/controller/restart.rs
+++ b/src/controller/restart.rs
@@ -3,7 +3,8 @@
 
 use super::Controller;
 use crate::clock::{self, Secs};
-use crate::restart_report::{Published, RecordLeftAlone, RestartReport};
+use crate::published::Published;
+use crate::restart_report::{RecordLeftAlone, RestartReport};
 use crate::settings::Settings;
 use crate::stored_check::misfit_records;
 use crate::wire::JobSpec;
@@ -20,14 +21,18 @@
 /// What the part `cold-restart` keeps.
 pub(super) struct Restart {
     caution: Caution,
-    published: Published,
+    published: Published<RestartReport>,
     published_at: Secs,
     /// The first job was accepted so long after the start of the process.
     first_accepted_s: Option<Secs>,
 }
 
 impl Restart {
-    pub(super) fn new(with: &ColdRestart, settings: &Settings, published: Published) -> Restart {
+    pub(super) fn new(
+        with: &ColdRestart,
+        settings: &Settings,
+        published: Published<RestartReport>,
+    ) -> Restart {
         let workers = &settings.params.workers;
         let limits = CautionLimits {
             answer_s: workers.report_s * with.answer_reports,
--- a/src/controller/worker_reports.rs
+++ b/src/controller/worker_reports.rs
@@ -51,7 +51,8 @@
         if now >= self.entitled_until() {
             return reply.later(503, 1, "fenced");
         }
-        let owner = membership::owner(&epoch.members, &report.machine).map(String::from);
+        let owner =
+            membership::owner_by_shares(epoch, &self.mirror.shares, &report.machine).map(String::from);
         match owner {
             Some(owner) if owner == self.settings.node_name => {
                 self.answer_own_worker(&report, relayed, reply, now);
--- a/src/fleet/commands.rs
+++ b/src/fleet/commands.rs
@@ -180,6 +180,9 @@
         );
         let mut out = Vec::new();
         for id in due {
+            if self.handovers.is_fenced(&id) {
+                continue;
+            }
             let Some(m) = self.machines.get_mut(&id) else { continue };
             if m.in_flight || now < m.direct_bad_until || m.session <= m.over && m.session != 0 {
                 continue;
@@ -219,6 +222,10 @@
         let (epoch, report_s) = (self.epoch, self.timing.report_s);
         let Some(m) = self.machines.get_mut(id) else { return };
         m.in_flight = false;
+        // What is known of it has gone over to its taker: no more may change.
+        if self.handovers.is_fenced(id) {
+            return;
+        }
         match answer {
             Some(r) if r.machine == *id && token_epoch(r.token) <= epoch => {
                 // It has just been reached: what it is told reaches it. That
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -30,8 +30,10 @@
                 if !m.certain() {
                     renewed = renewed.max(entered);
                 }
+                renewed = renewed.max(m.giver_renews_until);
                 !m.in_flight && now - renewed > limit
             })
+            .filter(|(id, _)| !self.handovers.is_fenced(id))
             .filter(|(_, m)| !m.certain() || m.session > m.over)
             .map(|(id, _)| id.clone())
             .collect();
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -57,6 +57,8 @@
     pub(super) tested: Option<Secs>,
     /// Direct commands answered without any report between.
     pub(super) unreported: Option<Unreported>,
+    /// Until when the controller that gave it away may have renewed its worker's lease.
+    pub(super) giver_renews_until: Secs,
     /// Its content was taken in at least once since its owner came to own it.
     pub(super) reconciled: bool,
     /// What was last judged of its tasks, other than that they are known.
@@ -110,6 +112,7 @@
             unacknowledged: None,
             tested: None,
             unreported: None,
+            giver_renews_until: f64::MIN,
             reconciled: false,
             judged: BTreeMap::new(),
         }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -3,6 +3,7 @@
 
 use crate::failure_detection::Reached;
 use crate::wire::{JobId, MachineId, Res, Task};
+use finchwood_shares::handover::{HandoverOrder, HandoverReport};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -136,6 +137,9 @@
     pub zones_met: Vec<(Arc<str>, Reached)>,
     /// Machines of other parts that came here, and how long ago.
     pub met: Vec<(MachineId, f64)>,
+    /// Shares that come or go.
+    #[serde(default, skip_serializing_if = "HandoverReport::is_empty")]
+    pub handovers: HandoverReport,
 }
 
 /// Tasks of one job that are assigned to a part.
@@ -180,4 +184,7 @@
     /// Teams that use more than they are guaranteed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub borrowing: Vec<Arc<str>>,
+    /// Shares that this part gives or takes, all of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub handovers: Vec<HandoverOrder>,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 mod assigned_tasks;
 mod commands;
+mod handover;
 mod leases;
 mod machine;
 mod messages;
@@ -28,6 +29,7 @@
 use finchwood_reconcile::machine::MachineState;
 use finchwood_reconcile::record::RestartRecord;
 use finchwood_reconcile::stored::StoredJobs;
+use handover::HandoverSide;
 use machine::Machine;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -128,6 +130,8 @@
     pub dirty: bool,
     /// What was found and decided since this part last knew nothing.
     record: RestartRecord,
+    /// Shares that come or go.
+    handovers: HandoverSide,
 }
 
 /// A task with its attempt.
@@ -159,6 +163,7 @@
             orders_seq: 0,
             dirty: true,
             record: RestartRecord::new(0),
+            handovers: HandoverSide::default(),
         }
     }
 
@@ -183,6 +188,9 @@
             *self = Part { record, ..fresh };
         }
         self.record.enter(epoch, stays, now);
+        // Whatever a handover has reached: owners of the new epoch ask their machines.
+        let members = mirror.epoch.as_ref().map(|e| e.members.clone());
+        self.handovers = HandoverSide::new(members.unwrap_or_default());
         self.epoch = epoch;
         self.entered = now;
         self.inc = inc;
@@ -206,6 +214,10 @@
 
     /// A machine of this part is on the roster, or was changed there.
     pub fn list(&mut self, id: &MachineId, record: &RosterRecord, now: Secs) {
+        // What its giver knows of it is still to come.
+        if self.handovers.is_awaited(id) {
+            return;
+        }
         let m = self.machines.entry(id.clone()).or_insert_with(|| Machine {
             kind: record.kind.clone(),
             zone: record.zone.clone(),
@@ -224,7 +236,9 @@
 
     /// A machine is off the roster: it and all that was on it are gone.
     pub fn unlist(&mut self, id: &MachineId) {
+        self.handovers.forget(id);
         if self.machines.remove(id).is_some() {
+            self.told.remove(id);
             self.lose(id, u64::MAX);
             self.unlisted.push((id.clone(), self.seq + 1));
         }
@@ -286,6 +300,7 @@
         self.orders_seq = orders.seq;
         self.borrowing = orders.borrowing.iter().cloned().collect();
         self.take_acknowledgement(orders.ack);
+        self.take_handover_orders(&orders.handovers, mirror, now);
         for (task, attempt) in &orders.recall {
             self.take_recall(task, *attempt, mirror, now);
         }
@@ -354,8 +369,12 @@
         if self.held.get(task).is_none_or(|h| h.attempt != attempt) {
             return;
         }
+        let machine = self.held.get(task).and_then(|held| Some(held.at.as_ref()?.machine.clone()));
+        let fenced = machine.is_some_and(|machine| self.handovers.is_fenced(&machine));
         match self.held.place_mut(task) {
             None => self.leave(task, Leave::Stopped),
+            // What its taker was told must not become untrue: the leader tells the taker.
+            Some(_) if fenced => {}
             // Saving for another start: nobody has any use for that any more, and
             // it may take longer than a cancelled task may.
             Some(p) if p.stop.is_some_and(|s| s != why) && why == Stop::Cancelled => {
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -62,7 +62,7 @@
         let mut free: BTreeMap<MachineId, Res> = self
             .machines
             .iter()
-            .filter(|(_, m)| self.open(m, now))
+            .filter(|(id, m)| self.open(m, now) && !self.handovers.is_fenced(id))
             .map(|(id, m)| (id.clone(), self.machine_free(id, m, mirror)))
             .collect();
         let mut kept = ReservedRoom::default();
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -27,12 +27,20 @@
             // would only be dropped.
             return ReportReply::Refuse;
         }
+        if self.handovers.is_awaited(&r.machine) {
+            return ReportReply::Refuse;
+        }
+        if self.handovers.is_fenced(&r.machine) {
+            return self.answer_fenced(r, mirror, now);
+        }
         let epoch = self.epoch;
+        let giver_renews_until = self.giver_renews_until();
         let known = mirror.roster.get(&r.machine).map(|(record, _)| record.clone());
         let m = self.machines.entry(r.machine.clone()).or_insert_with(|| Machine {
             kind: r.kind.clone(),
             zone: r.zone.clone(),
             spot: r.spot,
+            giver_renews_until,
             ..Machine::unknown(now)
         });
         if let Some(record) = known {
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -36,7 +36,7 @@
             free: self.machine_free(id, m, mirror),
             yielding,
             yielding_low,
-            open: self.open(m, now),
+            open: self.open(m, now) && !self.handovers.is_fenced(id),
             noticed: m.notice_until.is_some(),
             faulty: m.faulty(),
             ignores_commands: m.ignores_commands(self.timing.report_s, now)
@@ -99,6 +99,7 @@
             quiet,
             zones_met: reached.collect(),
             met: Vec::new(),
+            handovers: self.handovers.report(),
         }
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -11,6 +11,7 @@
 use crate::state::spawn;
 use crate::wire::{valid_job_id, JobSpec, Report, BODY_LIMIT};
 use crossbeam::channel::{bounded, Receiver, Sender};
+use finchwood_shares::plan::Plan;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,6 +35,10 @@
     Peer(Box<Envelope>),
     /// What the last restart or takeover found, for operators.
     RestartReport,
+    /// Who owns which share, and what moves, for operators.
+    SharesReport,
+    /// What operators want to move.
+    SharesPlan(Plan),
 }
 
 /// Listens for users and workers, or for the other controllers, and hands
@@ -76,6 +81,11 @@
             }
             "/relay" => report(body, true),
             "/restart" if method == "GET" => Ok(Ask::RestartReport),
+            "/shares" if method == "GET" => Ok(Ask::SharesReport),
+            "/shares/plan" if method == "POST" => match serde_json::from_slice(&body) {
+                Ok(plan) => Ok(Ask::SharesPlan(plan)),
+                Err(e) => Err((400, format!("plan: {e}"))),
+            },
             _ => Err(none()),
         };
     }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -8,12 +8,14 @@
 //! | `fw/f/ID/CHUNK` | finished tasks of a [`Chunk`], a bitmap in hex |
 //! | `fw/r/PAGE` | [`RosterPage`]: the machines of a rental, or [`RosterRecord`] of one (as before 0.2) |
 //! | `fw/c` | the cloud's catalogue |
+//! | `fw/s` | [`ShareTable`], as it is stored |
 
 use crate::finished::{tasks_per_chunk, Bits, Chunk};
 use crate::state::{Entry, Event};
 use crate::unreadable::{RecordError, UnreadableRecords};
 use crate::wire::{Catalog, JobId, JobSpec, MachineId, Task};
 use finchwood_reconcile::stored::{StoredJobs, StoredTask};
+use finchwood_shares::table::{ShareError, ShareTable, StoredTable};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
@@ -25,6 +27,8 @@
 pub const ROSTER_PREFIX: &str = "fw/r/";
 /// What the keys of job records begin with.
 pub const JOB_PREFIX: &str = "fw/j/";
+/// The key of the table of shares.
+pub const SHARES_KEY: &str = "fw/s";
 /// The key of the catalogue.
 pub const CATALOG_KEY: &str = "fw/c";
 
@@ -40,10 +44,18 @@
 /// The capability of versions that run gangs.
 pub const GANG_CAPABILITY: u32 = 1;
 
+/// The capability of those that also go by the table of shares.
+pub const SHARES_CAPABILITY: u32 = 2;
+
 impl Member {
-    /// A member of this version.
+    /// A member of this version, that goes by the table of shares or not.
+    pub fn new(inc: u64, shares: bool) -> Member {
+        Member { inc, capability: if shares { SHARES_CAPABILITY } else { GANG_CAPABILITY } }
+    }
+
+    /// A member of this version without parts that are off by default.
     pub fn of_this_version(inc: u64) -> Member {
-        Member { inc, capability: GANG_CAPABILITY }
+        Member::new(inc, false)
     }
 }
 
@@ -58,6 +70,9 @@
     /// Name to incarnation.
     pub members: BTreeMap<String, u64>,
     pub leader: String,
+    /// All members go by the table of shares; left out where one doesn't.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub shares: bool,
 }
 
 /// A job as it is stored.
@@ -181,6 +196,7 @@
     Job(JobId),
     Machines(Vec<MachineId>),
     Catalog,
+    Shares,
     Nothing,
 }
 
@@ -198,6 +214,9 @@
     gone_pages: HashMap<Arc<str>, u64>,
     pub catalog: Option<Arc<Catalog>>,
     pub catalog_version: u64,
+    /// What is owned otherwise than the hash says.
+    pub shares: ShareTable,
+    pub shares_version: u64,
     /// Records that make no sense, and are left alone.
     pub unreadable: UnreadableRecords,
     /// Tasks of each numbered chunk, as production counts them.
@@ -286,7 +305,9 @@
     pub fn put(&mut self, key: &str, value: Value, version: u64) -> Change {
         match self.try_put(key, value, version) {
             Ok(change) => {
-                self.unreadable.remove(key, version);
+                if change != Change::Shares {
+                    self.unreadable.remove(key, version);
+                }
                 change
             }
             Err(RecordError::ForeignKey) => {
@@ -305,6 +326,7 @@
         match key {
             EPOCH_KEY => return self.put_epoch(value, version),
             CATALOG_KEY => return self.put_catalog(value, version),
+            SHARES_KEY => return self.put_shares(value, version),
             _ => {}
         }
         let rest = key.strip_prefix("fw/").ok_or(RecordError::ForeignKey)?;
@@ -340,6 +362,28 @@
         Ok(Change::Catalog)
     }
 
+    /// What a table fails to say, the hash decides; so it does for all controllers alike,
+    /// whatever they knew before.
+    fn put_shares(&mut self, value: Value, version: u64) -> Result<Change, RecordError> {
+        if version <= self.shares_version {
+            return Ok(Change::Nothing);
+        }
+        let stored: Result<StoredTable, RecordError> = read(value);
+        let (table, errors) = match &stored {
+            Ok(stored) => ShareTable::read(stored),
+            Err(_) => (ShareTable::default(), vec![ShareError::Malformed]),
+        };
+        self.shares = table;
+        self.shares_version = version;
+        if errors.is_empty() {
+            self.unreadable.remove(SHARES_KEY, version);
+        } else {
+            tracing::warn!(key = SHARES_KEY, version, ?errors, "stored shares are left out");
+            self.unreadable.add(SHARES_KEY, version, RecordError::Malformed);
+        }
+        Ok(Change::Shares)
+    }
+
     fn put_member(&mut self, name: &str, value: Value, version: u64) -> Result<Change, RecordError> {
         let known = self.members.get(name).map_or(0, |member| member.1);
         if version > known {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -2,10 +2,11 @@
 //! keeps this node's own lease on the state service.
 
 use crate::clock::{self, Secs};
-use crate::jobs::{member_key, Epoch, Member};
+use crate::jobs::{member_key, Epoch, Member, SHARES_CAPABILITY};
 use crate::settings::Settings;
 use crate::state::{spawn, Budget, CallError, Op, Outcome, Store};
 pub use finchwood_model::token::{token, token_counter, token_epoch, MOST_COUNTER};
+use finchwood_shares::table::ShareTable;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 pub fn next_epoch(present: Option<&Epoch>, live: &BTreeMap<String, (Member, u64)>) -> Option<Epoch> {
     let members: BTreeMap<String, u64> = live.iter().map(|(name, (m, _))| (name.clone(), m.inc)).collect();
     let first = members.keys().next()?.clone();
+    let shares = live.values().all(|(member, _)| member.capability >= SHARES_CAPABILITY);
     match present {
         Some(e) if e.members == members => None,
         Some(e) => {
@@ -25,9 +27,9 @@
                 .find(|(name, inc)| e.members.get(*name) == Some(inc))
                 .map(|(name, _)| name.clone());
             let leader = if stays { e.leader.clone() } else { survivor.unwrap_or(first) };
-            Some(Epoch { n: e.n + 1, members, leader })
+            Some(Epoch { n: e.n + 1, members, leader, shares })
         }
-        None => Some(Epoch { n: 1, members, leader: first }),
+        None => Some(Epoch { n: 1, members, leader: first, shares }),
     }
 }
 
@@ -45,6 +47,17 @@
         .map(String::as_str)
 }
 
+/// The live member that owns a machine by the table of shares, where all members of the
+/// epoch go by it; else by the hash.
+pub fn owner_by_shares<'a>(epoch: &'a Epoch, table: &'a ShareTable, machine: &str) -> Option<&'a str> {
+    let home = owner(&epoch.members, machine)?;
+    if !epoch.shares || table.is_empty() {
+        return Some(home);
+    }
+    let moved = table.owner(home, machine).filter(|owner| epoch.members.contains_key(*owner));
+    Some(moved.unwrap_or(home))
+}
+
 fn pair_hash(a: &str, b: &str) -> u64 {
     let mut h = 0xcbf2_9ce4_8422_2325u64;
     for byte in a.bytes().chain([0xff]).chain(b.bytes()) {
@@ -68,7 +81,7 @@
 }
 
 /// Starts the actor that holds this node's lease and member key.
-pub fn lease_actor<F>(settings: &Settings, budget: Budget, tell: F)
+pub fn lease_actor<F>(settings: &Settings, budget: Budget, shares: bool, tell: F)
 where
     F: Fn(LeaseNews) -> bool + Send + 'static,
 {
@@ -77,7 +90,7 @@
     let life = settings.member_life_s();
     spawn("lease", move || loop {
         let pause = life / 24.0;
-        let Some((lease, sent)) = join(&store, &budget, &key, life) else {
+        let Some((lease, sent)) = join(&store, &budget, &key, life, shares) else {
             std::thread::sleep(Duration::from_secs_f64(pause));
             continue;
         };
@@ -114,7 +127,7 @@
 }
 
 /// A new lease with the member key attached to it.
-fn join(store: &Store, budget: &Budget, key: &str, life: Secs) -> Option<(u64, Secs)> {
+fn join(store: &Store, budget: &Budget, key: &str, life: Secs, shares: bool) -> Option<(u64, Secs)> {
     budget.force_call();
     let version = store.get(key).ok()?.map_or(0, |e| e.version);
     budget.force_call();
@@ -128,7 +141,7 @@
         Err(CallError::Silent) => return None,
     };
     budget.force_call();
-    let put = Op::Put { key: key.into(), value: json!(Member::of_this_version(lease)), lease: Some(lease) };
+    let put = Op::Put { key: key.into(), value: json!(Member::new(lease, shares)), lease: Some(lease) };
     match store.commit(&[(key.into(), version)], &[put]) {
         Outcome::Done(_) => Some((lease, sent)),
         _ => None,
--- a/src/with.rs
+++ b/src/with.rs
@@ -33,6 +33,42 @@
 pub struct Parts {
     /// Caution and a record after a restart or a takeover.
     pub cold_restart: Option<ColdRestart>,
+    /// Shares of the machines that move between live controllers.
+    pub shared_machines: Option<SharedMachines>,
+}
+
+/// The settings of the part `shared-machines`.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SharedMachines {
+    /// The most machines of a share that moves.
+    #[serde(default = "default_machines_per_move")]
+    pub machines_per_move: usize,
+    /// Moves in a minute.
+    #[serde(default = "default_moves_per_minute")]
+    pub moves_per_minute: f64,
+    /// A controller that owns more machines than the mean by this share gives some away.
+    #[serde(default = "default_imbalance")]
+    pub imbalance: f64,
+    /// Machines that have moved stay for so many workers' leases, unless operators ask.
+    #[serde(default = "default_rest_leases")]
+    pub rest_leases: f64,
+}
+
+fn default_machines_per_move() -> usize {
+    20
+}
+
+fn default_moves_per_minute() -> f64 {
+    12.0
+}
+
+fn default_imbalance() -> f64 {
+    0.5
+}
+
+fn default_rest_leases() -> f64 {
+    3.0
 }
 
 /// The settings of the part `cold-restart`.
@@ -91,11 +127,34 @@
                 settings.check(path)?;
                 switch_on(&mut self.cold_restart, settings, path, "cold-restart")
             }
+            "shared-machines" => {
+                let settings: SharedMachines = part_settings(path, file.settings)?;
+                settings.check(path)?;
+                switch_on(&mut self.shared_machines, settings, path, "shared-machines")
+            }
             part => Err(WithError::UnknownPart { path: path.into(), part: part.into() }),
         }
     }
 }
 
+impl SharedMachines {
+    fn check(&self, path: &str) -> Result<(), WithError> {
+        let amounts = [
+            ("machines_per_move", self.machines_per_move as f64),
+            ("moves_per_minute", self.moves_per_minute),
+            ("imbalance", self.imbalance),
+            ("rest_leases", self.rest_leases),
+        ];
+        for (field, value) in amounts {
+            if !value.is_finite() || value <= 0.0 {
+                let why = format!("{value} is not above zero");
+                return Err(WithError::Senseless { path: path.into(), field, why });
+            }
+        }
+        Ok(())
+    }
+}
+
 impl ColdRestart {
     fn check(&self, path: &str) -> Result<(), WithError> {
         let reports = self.answer_reports;
--- a/tests/cold_restart_cores.rs
+++ b/tests/cold_restart_cores.rs
@@ -259,7 +259,12 @@
     fresh["e"] = json!(EPOCH);
     m.put("fw/j/wk-2", fresh, 300);
     let mut l = Leader::new(&settings(&[("cpus_max = 400.0", "cpus_max = 2.0")]).expect("settings"));
-    let e = Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() };
+    let e = Epoch {
+        n: EPOCH,
+        members: [("a".to_string(), 7)].into_iter().collect(),
+        leader: "a".into(),
+        shares: false,
+    };
     assert!(!l.enter(&e, 7, &m), "it knew nothing before");
     let mut p = Part::new("a", TIMING, Default::default());
     p.enter(EPOCH, 7, &m, 0.0, |_| true);
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -216,11 +216,21 @@
 
     /// What a controller says to an operator's question; nothing if it doesn't answer.
     pub fn ask(&self, i: usize, path: &str) -> Value {
-        let answer = self.agent.get(&format!("http://{}{path}", self.backs[i])).call();
-        let text = answer.ok().and_then(|r| r.into_string().ok()).unwrap_or_default();
+        let text = match self.agent.get(&format!("http://{}{path}", self.backs[i])).call() {
+            Ok(r) | Err(ureq::Error::Status(_, r)) => r.into_string().unwrap_or_default(),
+            Err(_) => String::new(),
+        };
         serde_json::from_str(&text).unwrap_or_default()
     }
 
+    /// What a controller answers to what an operator wants.
+    pub fn tell(&self, i: usize, path: &str, body: &Value) -> (u16, String) {
+        match self.agent.post(&format!("http://{}{path}", self.backs[i])).send_string(&body.to_string()) {
+            Ok(r) | Err(ureq::Error::Status(_, r)) => (r.status(), r.into_string().unwrap_or_default()),
+            Err(_) => (0, String::new()),
+        }
+    }
+
     pub fn call(
         &self,
         i: usize,
--- a/tests/common/cores.rs
+++ b/tests/common/cores.rs
@@ -121,6 +121,7 @@
         drain: Vec::new(),
         running: None,
         borrowing: Vec::new(),
+        handovers: Vec::new(),
     }
 }
 
@@ -148,7 +149,12 @@
 
 pub fn leader(mirror: &Mirror) -> Leader {
     let mut l = Leader::new(&settings(&[]).expect("settings"));
-    let e = Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() };
+    let e = Epoch {
+        n: EPOCH,
+        members: [("a".to_string(), 7)].into_iter().collect(),
+        leader: "a".into(),
+        shares: false,
+    };
     l.enter(&e, 7, mirror);
     l
 }
--- a/tests/concurrent_faults.rs
+++ b/tests/concurrent_faults.rs
@@ -224,8 +224,12 @@
     round(&mut l, &mut p, &m, 2.0);
     assert_eq!(l.counts().1, 3);
     assert!(l.needs_new_epoch());
-    let present =
-        Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() };
+    let present = Epoch {
+        n: EPOCH,
+        members: [("a".to_string(), 7)].into_iter().collect(),
+        leader: "a".into(),
+        shares: false,
+    };
     let next = renewed_epoch(&present);
     assert_eq!((next.n, &next.members, &next.leader), (EPOCH + 1, &present.members, &present.leader));
     assert!(l.enter(&next, 7, &m) && !l.needs_new_epoch());
@@ -326,7 +330,7 @@
 fn two_parts(mirror: &Mirror, machines: usize) -> Leader {
     let mut l = Leader::new(&settings(&[]).expect("settings"));
     let members: BTreeMap<String, u64> = [("a".to_string(), 7), ("b".to_string(), 8)].into_iter().collect();
-    l.enter(&Epoch { n: EPOCH, members, leader: "a".into() }, 7, mirror);
+    l.enter(&Epoch { n: EPOCH, members, leader: "a".into(), shares: false }, 7, mirror);
     for (n, (name, inc)) in [("a", 7), ("b", 8)].into_iter().enumerate() {
         let mut p = Part::new(name, TIMING, HashMap::new());
         let owns = |id: &str| id[2..].parse::<usize>().is_ok_and(|i| (i - 1) / 2 % 2 == n);
@@ -428,7 +432,12 @@
     m.put("fw/j/wk-2", json!(accepted), 150);
     let mut l = Leader::new(&settings(&[("cpus_max = 400.0", "cpus_max = 8.0")]).expect("settings"));
     l.enter(
-        &Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() },
+        &Epoch {
+            n: EPOCH,
+            members: [("a".to_string(), 7)].into_iter().collect(),
+            leader: "a".into(),
+            shares: false,
+        },
         7,
         &m,
     );
--- a/tests/fleet_of_4000.rs
+++ b/tests/fleet_of_4000.rs
@@ -151,7 +151,7 @@
             };
             mirror.put(&format!("fw/j/{}", spec.id), json!(record), 1000 + u64::from(n));
         }
-        let epoch = Epoch { n: 0, members: BTreeMap::new(), leader: "a".into() };
+        let epoch = Epoch { n: 0, members: BTreeMap::new(), leader: "a".into(), shares: false };
         let leader = Leader::new(&settings);
         let mut fleet = Fleet { settings, mirror, epoch, parts: Vec::new(), leader, workers, largest: 0 };
         fleet.begin_cold(0.0);
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -98,7 +98,7 @@
     /// that of the part, which then knows nothing of what was.
     fn take_over(&mut self, incarnation: u64) {
         let members = [("a".to_string(), incarnation)].into_iter().collect();
-        let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into() };
+        let epoch = Epoch { n: EPOCH + 1, members, leader: "a".into(), shares: false };
         self.part.enter(epoch.n, incarnation, &self.mirror, self.now, |_| true);
         self.leader = Leader::new(&settings(&[]).expect("settings"));
         self.leader.enter(&epoch, incarnation, &self.mirror);
@@ -164,7 +164,7 @@
     let m = mirror(6, &[&first, &s]);
     let mut l = Leader::new(&settings(&[("cpus_max = 400.0", "cpus_max = 12.0")]).expect("settings"));
     let members = [("a".to_string(), 7)].into_iter().collect();
-    l.enter(&Epoch { n: EPOCH, members, leader: "a".into() }, 7, &m);
+    l.enter(&Epoch { n: EPOCH, members, leader: "a".into(), shares: false }, 7, &m);
     let mut p = part(&m);
     for machine in 1..=6 {
         met(&mut p, &m, machine, 0.2);
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -20,6 +20,9 @@
 use finchwood::wire::{
     Call, Catalog, Commands, JobSpec, MachineType, Rank, Report, Shape, Task, TaskLine, TaskState,
 };
+use finchwood_shares::handover::{HandoverEnd, Handovers, MoveReason, WantedMove};
+use finchwood_shares::position::position;
+use finchwood_shares::table::{ShareRange, ShareTable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -176,6 +179,9 @@
     seen: usize,
     part: Part,
     leader: Leader,
+    handovers: Handovers,
+    /// A write of the table was refused for certain then.
+    table_refused_at: Option<f64>,
 }
 
 #[derive(Clone)]
@@ -196,6 +202,14 @@
     log: Vec<Event>,
     version: u64,
     epoch: Epoch,
+    /// All controllers go by the table of shares, and shares move.
+    shares: bool,
+    table: ShareTable,
+    table_version: u64,
+    /// Writes of the table without an answer: when they are carried out, on the condition
+    /// of what table and what epoch.
+    late_tables: Vec<(f64, u64, u64, ShareTable)>,
+    moved: u64,
     incs: u64,
     nodes: Vec<Node>,
     workers: Vec<Worker>,
@@ -233,14 +247,19 @@
 }
 
 impl World {
-    fn new(seed: u64) -> World {
+    fn new(seed: u64, shares: bool) -> World {
         let mut w = World {
             settings: settings(),
             rng: StdRng::seed_from_u64(seed),
             now: 0.0,
             log: Vec::new(),
             version: 0,
-            epoch: Epoch { n: 0, members: BTreeMap::new(), leader: String::new() },
+            epoch: Epoch { n: 0, members: BTreeMap::new(), leader: String::new(), shares: false },
+            shares,
+            table: ShareTable::default(),
+            table_version: 0,
+            late_tables: Vec::new(),
+            moved: 0,
             incs: 0,
             nodes: Vec::new(),
             workers: Vec::new(),
@@ -398,7 +417,7 @@
     fn next_epoch(&mut self, members: BTreeMap<String, u64>) {
         let live = members
             .iter()
-            .map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member::of_this_version(inc), 1)))
+            .map(|(n, &inc)| (n.clone(), (finchwood::jobs::Member::new(inc, self.shares), 1)))
             .collect();
         let present = (self.epoch.n > 0).then(|| self.epoch.clone());
         if let Some(e) = membership::next_epoch(present.as_ref(), &live) {
@@ -593,7 +612,8 @@
                 }
                 let Some(machine) = self.workers.iter().position(|w| w.id == *report.machine) else { return };
                 let epoch = node.mirror.epoch.clone().expect("an epoch");
-                let owner = membership::owner(&epoch.members, &report.machine).expect("an owner").to_string();
+                let owner = membership::owner_by_shares(&epoch, &node.mirror.shares, &report.machine);
+                let owner = owner.expect("an owner").to_string();
                 if owner != NODES[to] {
                     return;
                 }
@@ -665,8 +685,12 @@
                     .is_some_and(|e| e.leader == NODES[to] && node.part.epoch() == e.n);
                 if node.alive && leads {
                     let from = report.node.clone();
+                    let mut report = report;
+                    let handovers = std::mem::take(&mut report.handovers);
                     if node.leader.part_report(*report, &node.mirror, now) {
-                        if let Some(orders) = node.leader.orders(&from) {
+                        node.handovers.take_in(&from, handovers, now);
+                        if let Some(mut orders) = node.leader.orders(&from) {
+                            orders.handovers = node.handovers.orders_for(&from);
                             let to = NODES.iter().position(|n| *n == from).expect("a node");
                             self.send(Packet::Orders { to, orders: Box::new(orders) });
                         }
@@ -719,9 +743,12 @@
                 finchwood::jobs::Change::Epoch => {
                     let e = node.mirror.epoch.clone().expect("an epoch");
                     if e.members.get(NODES[i]) == Some(&node.inc) {
+                        let table = node.mirror.shares.clone();
                         node.part.enter(e.n, node.inc, &node.mirror, now, |m| {
-                            membership::owner(&e.members, m) == Some(NODES[i])
+                            membership::owner_by_shares(&e, &table, m) == Some(NODES[i])
                         });
+                        node.handovers.new_epoch(now);
+                        node.table_refused_at = None;
                         if e.leader == NODES[i] {
                             node.leader.enter(&e, node.inc, &node.mirror);
                         }
@@ -735,8 +762,10 @@
                 }
                 finchwood::jobs::Change::Machines(ids) => {
                     let e = node.mirror.epoch.clone();
+                    let table = node.mirror.shares.clone();
                     let mine = |id: &str| {
-                        e.as_ref().is_some_and(|e| membership::owner(&e.members, id) == Some(NODES[i]))
+                        let owner = |e| membership::owner_by_shares(e, &table, id) == Some(NODES[i]);
+                        e.as_ref().is_some_and(owner)
                     };
                     for id in ids {
                         match node.mirror.roster.get(&id) {
@@ -746,11 +775,75 @@
                         }
                     }
                 }
+                finchwood::jobs::Change::Shares => {
+                    let Some(e) = node.mirror.epoch.clone().filter(|e| e.shares && e.n == node.part.epoch())
+                    else {
+                        continue;
+                    };
+                    let table = node.mirror.shares.clone();
+                    node.part.shares_changed(&node.mirror, now, |m| {
+                        membership::owner_by_shares(&e, &table, m) == Some(NODES[i])
+                    });
+                }
                 _ => {}
             }
         }
     }
 
+    /// The leader's handovers: the table is written, at once, late or with its answer lost;
+    /// now and then a share is to move, faster than workers report.
+    fn move_shares(&mut self, i: usize, reached: bool) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let Some(e) = node.mirror.epoch.clone().filter(|e| e.shares) else { return };
+        node.handovers.table_is(&node.mirror.shares, now);
+        if node.table_refused_at.is_some_and(|at| node.fresh_at > at) {
+            node.handovers.refused(now);
+            node.table_refused_at = None;
+        }
+        node.handovers.withdraw_stale(9.0, now);
+        self.moved += node.handovers.ended.remove(&HandoverEnd::Owned).unwrap_or(0);
+        if reached && node.table_refused_at.is_none() {
+            if let Some(write) = node.handovers.to_write(&node.mirror.shares, now) {
+                let (version, epoch) = (node.mirror.shares_version, e.n);
+                if self.rng.gen_bool(0.2) {
+                    let at = now + self.rng.gen_range(0.5..12.0);
+                    self.late_tables.push((at, version, epoch, write.table));
+                } else if !self.commit_table(version, epoch, &write.table) {
+                    self.nodes[i].table_refused_at = Some(now);
+                }
+            }
+        }
+        if self.calm || !self.rng.gen_bool(0.15) {
+            return;
+        }
+        let id = self.workers[self.rng.gen_range(0..self.workers.len())].id.clone();
+        let taker = NODES[self.rng.gen_range(0..NODES.len())];
+        let node = &mut self.nodes[i];
+        let home = membership::owner(&e.members, &id).expect("a home");
+        let at = position(&id);
+        // One machine, many, or all of a home.
+        let reach = [0, u64::MAX / 4, u64::MAX][self.rng.gen_range(0..3)];
+        let (first, last) = (at.saturating_sub(reach), at.saturating_add(reach));
+        let range = ShareRange { home: home.into(), first, last };
+        let Some(giver) = node.mirror.shares.sole_owner(&range).map(String::from) else { return };
+        if e.members.contains_key(&giver) && e.members.contains_key(taker) {
+            let wanted = WantedMove { range, giver, taker: taker.into(), reason: MoveReason::Plan };
+            node.handovers.begin(wanted, now);
+        }
+    }
+
+    /// A write of the table, on the condition of its revision and of the epoch.
+    fn commit_table(&mut self, version: u64, epoch: u64, table: &ShareTable) -> bool {
+        if self.table_version != version || self.epoch.n != epoch {
+            return false;
+        }
+        self.put("fw/s", serde_json::to_value(table.stored()).expect("json"));
+        self.table_version = self.version;
+        self.table = table.clone();
+        true
+    }
+
     fn node_round(&mut self, i: usize) {
         let now = self.now;
         // The mirror lags, but a node whose mirror is old fences itself.
@@ -764,6 +857,14 @@
         }
         let linked = self.linked(i);
         let reached = answered && linked;
+        let leads = self.nodes[i].mirror.epoch.as_ref().is_some_and(|e| {
+            e.leader == NODES[i]
+                && e.members.get(NODES[i]) == Some(&self.nodes[i].inc)
+                && self.nodes[i].part.epoch() == e.n
+        });
+        if self.shares && leads {
+            self.move_shares(i, reached);
+        }
         // The leader that had a machine deleted knows that it is gone; here all
         // leaders do, which is more than they may.
         let gone: HashSet<String> = self.workers.iter().filter(|w| !w.alive).map(|w| w.id.clone()).collect();
@@ -803,6 +904,9 @@
                 unreached.extend(machines_with_cancelled_tasks.iter().map(ToString::to_string));
             }
             orders = NODES.iter().filter_map(|n| node.leader.orders(n)).collect();
+            for o in &mut orders {
+                o.handovers = node.handovers.orders_for(&o.node);
+            }
         }
         let inc = node.inc;
         for d in directs {
@@ -960,7 +1064,7 @@
             let report = w.report();
             w.awaiting = Some(report.seq);
             let to = self.rng.gen_range(0..NODES.len());
-            let owner = membership::owner(&self.epoch.members, &report.machine)
+            let owner = membership::owner_by_shares(&self.epoch, &self.table, &report.machine)
                 .and_then(|o| NODES.iter().position(|n| *n == o));
             let to = if self.rng.gen_bool(0.8) { owner.unwrap_or(to) } else { to };
             self.send(Packet::Report { to, report, sent: now });
@@ -986,6 +1090,13 @@
             for (_, version, job, tasks) in due {
                 self.commit(version, &job, &tasks);
             }
+            let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late_tables)
+                .into_iter()
+                .partition(|l| l.0 <= now && now >= self.outage_until);
+            self.late_tables = rest;
+            for (_, version, epoch, table) in due {
+                self.commit_table(version, epoch, &table);
+            }
             for i in 0..self.workers.len() {
                 self.worker_round(i);
             }
@@ -1175,7 +1286,43 @@
         seen: 0,
         part: Part::new(NODES[i], timing, HashMap::new()),
         leader: Leader::new(&settings()),
+        handovers: Handovers::default(),
+        table_refused_at: None,
+    }
+}
+
+/// The same world, in which shares of the machines move all the time: late, refused and
+/// lost writes of the table, givers, takers and leaders that end or are cut off in between.
+#[test]
+fn shares_that_move_in_all_troubles_lose_nothing_and_run_nothing_twice() {
+    let (mut moved, mut starts, mut committed) = (0, 0, 0);
+    for seed in 100..140 {
+        let mut w = World::new(seed, true);
+        w.run(240.0);
+        w.calm_down();
+        w.run(500.0);
+        for (id, s) in &w.specs {
+            let done = w.finished.get(id).map_or(0, HashSet::len);
+            let over = w.cancelled.contains_key(id) || done as u32 == s.tasks;
+            assert!(over, "seed {seed}: {id} has {done} of {} tasks done long after all troubles", s.tasks);
+        }
+        // Every machine has one owner, the one that the table says, and gets its orders.
+        for worker in w.workers.iter().filter(|worker| worker.alive) {
+            let owner = membership::owner_by_shares(&w.epoch, &w.table, &worker.id);
+            let lists = |n: &&Node| n.part.listed_machines().iter().any(|id| **id == *worker.id);
+            let owners: Vec<&str> =
+                NODES.iter().zip(&w.nodes).filter(|(_, n)| lists(n)).map(|(name, _)| *name).collect();
+            assert_eq!(owners, owner.into_iter().collect::<Vec<_>>(), "seed {seed}: {}", worker.id);
+        }
+        assert!(w.nodes.iter().all(|n| n.part.fenced_machines().is_empty()), "seed {seed}: still fenced");
+        moved += w.moved;
+        starts += w.starts;
+        committed += w.committed;
     }
+    println!("{moved} shares moved, {starts} starts, {committed} tasks committed");
+    assert!(moved > 500, "only {moved} shares moved");
+    assert!(starts > 1000, "only {starts} starts");
+    assert!(committed > 500, "only {committed} tasks committed");
 }
 
 #[test]
@@ -1184,7 +1331,7 @@
     let (mut away, mut refused, mut muted, mut called_off) = (0, 0, 0, 0);
     let (mut gang_runs, mut gang_failures, mut gangs_done) = (0, 0, 0);
     for seed in 0..40 {
-        let mut w = World::new(seed);
+        let mut w = World::new(seed, false);
         w.run(240.0);
         w.calm_down();
         w.run(500.0);
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -220,7 +220,12 @@
 
 fn leader(mirror: &Mirror) -> Leader {
     let mut l = Leader::new(&settings());
-    let e = Epoch { n: EPOCH, members: [("a".to_string(), 7)].into_iter().collect(), leader: "a".into() };
+    let e = Epoch {
+        n: EPOCH,
+        members: [("a".to_string(), 7)].into_iter().collect(),
+        leader: "a".into(),
+        shares: false,
+    };
     l.enter(&e, 9, mirror);
     l
 }
--- a/tests/preemption.rs
+++ b/tests/preemption.rs
@@ -46,7 +46,7 @@
         let changes = [("cpus_max = 400.0", team.as_str()), ("[params.workers]", objectives.as_str())];
         let mut leader = Leader::new(&settings(&changes).expect("settings"));
         let members = [("a".to_string(), 7)].into_iter().collect();
-        leader.enter(&Epoch { n: EPOCH, members, leader: "a".into() }, 7, &mirror);
+        leader.enter(&Epoch { n: EPOCH, members, leader: "a".into(), shares: false }, 7, &mirror);
         leader.part_report(part.snapshot(&mirror, 0.3), &mirror, 0.3);
         leader.resolve(&mirror, &|_| false);
         let running = vec![BTreeMap::new(); machines];
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -112,6 +112,7 @@
         drain: Vec::new(),
         running: None,
         borrowing: Vec::new(),
+        handovers: Vec::new(),
     };
     p.orders(&o, mirror, 0.3);
 }
@@ -128,6 +129,7 @@
         drain: Vec::new(),
         running: None,
         borrowing: Vec::new(),
+        handovers: Vec::new(),
     };
     p.orders(&o, mirror, 0.6);
 }
@@ -338,6 +340,7 @@
         drain: Vec::new(),
         running: None,
         borrowing: Vec::new(),
+        handovers: Vec::new(),
     };
     p.report(&report(1, 4, t, &[("wk-1/0", 50, TaskState::Running, None)]), false, &m, 31.0);
     p.orders(&orders, &m, 31.0);
--- /dev/null
+++ b/tests/shared_machines.rs
@@ -0,0 +1,159 @@
+//! Three controllers as real processes, stand-in workers, services, arrays and a gang;
+//! shares of the machines move there and back all the time, while a controller is killed
+//! and another is cut off. Seen from the workers: no job lost, none run twice, nothing
+//! stopped; at the end no machine without an owner, and none with two.
+//!
+//! In CI it takes a few dozen moves; `MOVE_SHARES_FOR_S` makes it go on for longer.
+
+mod common;
+
+use common::cluster::{job, Cluster, Options, PATIENCE};
+use common::Seen;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+const STAYING: [(&str, &str, u32); 3] =
+    [("wk-000001", "standing", 30), ("wk-000003", "ensemble", 4), ("wk-000005", "array", 26)];
+/// Moves that must have ended well in the short form.
+const LEAST_MOVES: u64 = 12;
+
+fn lock(seen: &Mutex<Seen>) -> MutexGuard<'_, Seen> {
+    seen.lock().expect("seen")
+}
+
+fn wait(what: &str, done: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !done() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn running(seen: &Mutex<Seen>) -> usize {
+    let seen = lock(seen);
+    let stays = |task: &str| STAYING.iter().any(|(id, _, _)| task.starts_with(id));
+    seen.on.iter().filter(|(task, on)| stays(task) && !on.is_empty()).count()
+}
+
+/// The leader, and what it says of the shares.
+fn leader(c: &Cluster) -> Option<(usize, Value)> {
+    (0..NODES).map(|i| (i, c.ask(i, "/shares"))).find(|(_, report)| report["leader"].is_object())
+}
+
+/// What ended well since the present leader's process began.
+fn owned(c: &Cluster) -> u64 {
+    leader(c).and_then(|(_, report)| report["leader"]["ended"]["owned"].as_u64()).unwrap_or(0)
+}
+
+/// Operators have some machines moved, in a plan of their own.
+fn move_some(c: &Cluster, rng: &mut StdRng) {
+    let from = rng.gen_range(0..NODES);
+    let to = (from + rng.gen_range(1..NODES)) % NODES;
+    let plan = json!({"moves": [{"from": format!("n{from}"), "to": format!("n{to}"), "machines": rng.gen_range(1..12)}]});
+    if let Some((i, _)) = leader(c) {
+        c.tell(i, "/shares/plan", &plan);
+    }
+}
+
+fn check(seen: &Mutex<Seen>) {
+    let seen = lock(seen);
+    assert_eq!(seen.twice, [""; 0], "on two machines at once");
+    assert_eq!(seen.stopped, [""; 0], "stopped");
+    assert_eq!(seen.deleted_in_use, [""; 0], "deleted with tasks on them");
+    let again: u32 = seen.starts_of.values().map(|n| n - 1).sum();
+    assert!(again <= seen.lapsed, "{again} started again, {} killed by leases", seen.lapsed);
+}
+
+#[test]
+fn shares_move_while_work_runs_and_nothing_is_lost_or_run_twice() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let with = vec!["deploy/cold-restart.toml", "tests/fixtures/shares-that-move.toml"];
+    let options = Options { lease_s: 24, team_cpus: 120, with };
+    let mut c = Cluster::start_with(NODES, "shares", &seen, options);
+    (0..NODES).for_each(|i| c.until(i, "GET", "/up", None, |s, _| s == 200));
+    for (n, (id, shape, tasks)) in STAYING.into_iter().enumerate() {
+        c.until(n % NODES, "POST", "/v2/runs", Some(job(id, shape, tasks)), |s, _| s == 201 || s == 200);
+    }
+    let all: u32 = STAYING.iter().map(|job| job.2).sum();
+    wait("all of it runs", || running(&seen) == all as usize);
+    wait("nobody goes by the table", || leader(&c).is_some_and(|(_, report)| report["in_use"] == true));
+    let mut rng = StdRng::seed_from_u64(24);
+    let for_s: u64 = std::env::var("MOVE_SHARES_FOR_S").ok().and_then(|s| s.parse().ok()).unwrap_or(0);
+    let (begin, mut moves, mut rounds) = (Instant::now(), 0, 0);
+    while rounds < 3 || begin.elapsed() < Duration::from_secs(for_s) {
+        // Work that ends comes and goes meanwhile.
+        let short = format!("wk-{:06}", 100 + 2 * rounds);
+        c.until(rounds % NODES, "POST", "/v2/runs", Some(job(&short, "array", 6)), |s, _| {
+            s == 201 || s == 200
+        });
+        let (before, round) = (owned(&c), Instant::now());
+        while owned(&c) < before + LEAST_MOVES / 3 {
+            assert!(round.elapsed() < PATIENCE, "no shares move");
+            move_some(&c, &mut rng);
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        moves += owned(&c) - before;
+        // In the middle of a move one controller ends, or loses all but its workers.
+        move_some(&c, &mut rng);
+        let i = rng.gen_range(0..NODES);
+        if rounds % 2 == 0 {
+            c.kill(i);
+            c.boot(i);
+        } else {
+            c.cut(i, true);
+            std::thread::sleep(Duration::from_millis(rng.gen_range(200..5000)));
+            c.cut(i, false);
+        }
+        c.until(i, "GET", "/up", None, |s, _| s == 200);
+        wait("nobody goes by the table", || leader(&c).is_some_and(|(_, report)| report["in_use"] == true));
+        c.until(i, "GET", &format!("/v2/runs/{short}"), None, |_, v| v["mood"] == "done");
+        wait("the rest runs", || running(&seen) == all as usize);
+        check(&seen);
+        rounds += 1;
+    }
+    wait("machines without an owner, or handovers that don't end", || {
+        leader(&c).is_some_and(|(_, report)| {
+            report["leader"]["without_owner"] == 0
+                && report["leader"]["under_way"].as_array().is_some_and(Vec::is_empty)
+        })
+    });
+    let reports: Vec<Value> = (0..NODES).map(|i| c.ask(i, "/shares")).collect();
+    let of = |r: &Value| r["machines"].as_array().cloned().unwrap_or_default();
+    let owned_by: Vec<String> = reports.iter().flat_map(of).map(|id| id.to_string()).collect();
+    let distinct: BTreeSet<&String> = owned_by.iter().collect();
+    assert_eq!(distinct.len(), owned_by.len(), "machines with two owners");
+    assert!(distinct.len() as u32 >= all / 4, "{} machines are owned", distinct.len());
+    let told = leader(&c).expect("a leader").1;
+    println!("{moves} moves in {rounds} rounds; the last leader: {}", told["leader"]);
+    check(&seen);
+}
+
+/// What makes no sense is refused whole, in a line; what is not switched on says so.
+#[test]
+fn senseless_plans_are_refused_and_change_nothing() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let options = Options { with: vec!["deploy/shared-machines.toml"], ..Options::default() };
+    let c = Cluster::start_with(1, "plans", &seen, options);
+    c.until(0, "GET", "/up", None, |s, _| s == 200);
+    wait("it does not lead", || leader(&c).is_some_and(|(_, report)| report["in_use"] == true));
+    for (plan, names) in [
+        (json!({"drain": ["n0"]}), "nobody is left"),
+        (json!({"moves": [{"from": "n0", "to": "n7", "machines": 1}]}), "n7"),
+        (json!({"moves": "all"}), "plan"),
+        (json!({"dreain": []}), "dreain"),
+    ] {
+        let (status, said) = c.tell(0, "/shares/plan", &plan);
+        assert!(
+            status == 400 && said.contains(names) && said.lines().count() == 1,
+            "{plan}: {status} {said}"
+        );
+    }
+    let report = c.ask(0, "/shares");
+    assert!(report["leader"]["plan"] == json!({"drain": [], "moves": []}) && report["generation"] == 0);
+    assert_eq!(c.ask(0, "/restart")["error"], "the part cold-restart is not switched on");
+}
--- a/tests/with_files.rs
+++ b/tests/with_files.rs
@@ -4,13 +4,17 @@
 #[path = "common/settings.rs"]
 mod base;
 
-use finchwood::with::{ColdRestart, Parts};
+use finchwood::with::{ColdRestart, Parts, SharedMachines};
 use std::process::Command;
 
 #[test]
 fn the_files_under_deploy_are_taken() {
     let mut parts = Parts::default();
     parts.add("cold-restart.toml", include_str!("../deploy/cold-restart.toml")).expect("taken");
+    parts.add("shared-machines.toml", include_str!("../deploy/shared-machines.toml")).expect("taken");
+    let shared =
+        SharedMachines { machines_per_move: 20, moves_per_minute: 12.0, imbalance: 0.5, rest_leases: 3.0 };
+    assert_eq!(parts.shared_machines, Some(shared));
     assert_eq!(parts.cold_restart, Some(ColdRestart { answer_reports: 2.0, entries: 500 }));
 }
 
@@ -26,6 +30,8 @@
         (format!("{part}entries = \"many\""), "expected"),
         (format!("{part}entires = 3"), "entires"),
         ("part = ".into(), "TOML"),
+        ("part = \"shared-machines\"\nimbalance = 0.0".into(), "imbalance"),
+        ("part = \"shared-machines\"\nmachines_per_move = 0".into(), "machines_per_move"),
     ];
     for (text, names) in bad {
         let why = Parts::default().add("x.toml", &text).expect_err(&text).to_string();
