--- a/tests/shared_machines.rs
+++ b/tests/shared_machines.rs
@@ -42,7 +42,7 @@
 
 /// The leader, and what it says of the shares.
 fn leader(c: &Cluster) -> Option<(usize, Value)> {
-    (0..NODES).map(|i| (i, c.ask(i, "/shares"))).find(|(_, report)| report["leader"].is_object())
+    (0..c.users.len()).map(|i| (i, c.ask(i, "/shares"))).find(|(_, report)| report["leader"].is_object())
 }
 
 /// What ended well since the present leader's process began.
