--- a/tests/load.rs
+++ b/tests/load.rs
@@ -295,6 +295,7 @@
             drain: Vec::new(),
             running: None,
             borrowing: Vec::new(),
+            handovers: Vec::new(),
         };
         s.part.orders(&o, &s.mirror, 20.0);
         let whole = s.part.snapshot(&s.mirror, 20.0);
@@ -361,6 +362,7 @@
             n,
             members: members.iter().map(|(m, inc)| (m.to_string(), *inc)).collect(),
             leader: "a".into(),
+            shares: false,
         };
         l.enter(&epoch(EPOCH, &[("a", 7), ("b", 8)]), 9, &s.mirror);
         s.report(0, 1.0, &[(1, false)]);
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -460,6 +460,7 @@
             drain: Vec::new(),
             running: None,
             borrowing: Vec::new(),
+            handovers: Vec::new(),
         };
         p.orders(&o, &m, now);
         p.snapshot(&m, now).machines.remove(0)
