--- a/tests/common/cores.rs
+++ b/tests/common/cores.rs
@@ -30,6 +30,14 @@
     Arc::new(serde_json::from_value(v).expect("a spec"))
 }
 
+/// A job of so many tasks, each of which takes two of a machine's four CPUs.
+pub fn job_in(id: &str, shape: &str, tasks: u32) -> Arc<JobSpec> {
+    spec(id, tasks, |v| v["shape"] = json!(shape))
+}
+
+/// No change of the settings.
+pub const SETTINGS_ALL: &[(&str, &str)] = &[];
+
 pub fn record(spec: &Arc<JobSpec>, cancelled: bool) -> Value {
     json!(JobRecord {
         tasks: spec.tasks,
--- a/tests/shared_machines.rs
+++ b/tests/shared_machines.rs
@@ -133,6 +133,40 @@
     check(&seen);
 }
 
+/// A controller is emptied before its process is exchanged: the others own all machines
+/// by then, and its end and return are no takeover. Afterwards it gets its share again.
+#[test]
+fn a_controller_is_drained_before_it_is_exchanged() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let with = vec!["deploy/cold-restart.toml", "tests/fixtures/shares-that-move.toml"];
+    let options = Options { lease_s: 24, team_cpus: 80, with };
+    let mut c = Cluster::start_with(NODES, "drain", &seen, options);
+    (0..NODES).for_each(|i| c.until(i, "GET", "/up", None, |s, _| s == 200));
+    let (id, shape, tasks) = STAYING[0];
+    c.until(0, "POST", "/v2/runs", Some(job(id, shape, tasks)), |s, _| s == 201 || s == 200);
+    wait("all of it runs", || running(&seen) == tasks as usize);
+    wait("nobody goes by the table", || leader(&c).is_some_and(|(_, report)| report["in_use"] == true));
+    let machines = |c: &Cluster, i: usize| c.ask(i, "/shares")["machines"].as_array().map(Vec::len);
+    let plan = |c: &Cluster, plan: Value| {
+        wait("the plan is not taken", || {
+            leader(c).is_some_and(|(leads, _)| c.tell(leads, "/shares/plan", &plan).0 == 200)
+        });
+    };
+    let (leads, _) = leader(&c).expect("a leader");
+    let drained = (leads + 1) % NODES;
+    wait("it owns machines", || machines(&c, drained).is_some_and(|n| n > 0));
+    plan(&c, json!({"drain": [format!("n{drained}")]}));
+    wait("it still owns machines", || machines(&c, drained) == Some(0));
+    c.kill(drained);
+    c.boot(drained);
+    c.until(drained, "GET", "/up", None, |s, _| s == 200);
+    wait("nobody goes by the table", || leader(&c).is_some_and(|(_, report)| report["in_use"] == true));
+    assert_eq!(machines(&c, drained), Some(0), "the table still says that others own its machines");
+    plan(&c, json!({}));
+    wait("it gets nothing back", || machines(&c, drained).is_some_and(|n| n > 0));
+    check(&seen);
+}
+
 /// What makes no sense is refused whole, in a line; what is not switched on says so.
 #[test]
 fn senseless_plans_are_refused_and_change_nothing() {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -12,8 +12,11 @@
 use finchwood::finished::{chunks_covering, tasks_per_chunk, Chunk, ChunkRange};
 use finchwood::fleet::{Gone, HeldView, JobAssignment, Leave, Orders, PartReport, Phase, Quiet};
 use finchwood::jobs::{Member, Mirror};
+use finchwood::membership::{next_epoch, owner, owner_by_shares};
 use finchwood::peer::{CancellationNotice, Envelope, Message};
 use finchwood::wire::{Res, Shape, Task};
+use finchwood_shares::handover::HandoverOrder;
+use finchwood_shares::table::{ShareRange, ShareTable};
 use serde_json::{json, Value};
 
 const STATE: &str = include_str!("fixtures/production-state.txt");
@@ -114,6 +117,12 @@
     pub struct Member {
         pub inc: u64,
     }
+    #[derive(Debug, Deserialize)]
+    pub struct Epoch {
+        pub n: u64,
+        pub members: std::collections::BTreeMap<String, u64>,
+        pub leader: String,
+    }
 }
 
 fn state() -> Vec<(&'static str, Value)> {
@@ -281,6 +290,45 @@
     assert_eq!(read.quiet.iter().map(|q| q.deaf_s).collect::<Vec<_>>(), [Some(4.0)]);
 }
 
+// Shares are fields that production leaves out, and an epoch in which one member is of
+// production doesn't have them.
+#[test]
+fn production_reads_epochs_members_and_messages_with_shares() {
+    let knows = |name: &str, inc: u64, shares: bool| (name.to_string(), (Member::new(inc, shares), 1));
+    let next = |live: &[(String, (Member, u64))]| {
+        next_epoch(None, &live.iter().cloned().collect()).expect("an epoch")
+    };
+    let (all, mixed) = (
+        next(&[knows("a", 7, true), knows("b", 8, true)]),
+        next(&[knows("a", 7, true), knows("b", 8, false)]),
+    );
+    assert!(all.shares && !mixed.shares);
+    assert_eq!(
+        json!(mixed),
+        json!({"n": 1, "members": {"a": 7, "b": 8}, "leader": "a"}),
+        "the bytes of production"
+    );
+    let read: production::Epoch = serde_json::from_value(json!(all)).expect("it is read");
+    assert_eq!((read.n, read.leader.as_str(), read.members.len()), (1, "a", 2));
+    let read: production::Member = serde_json::from_value(json!(Member::new(9, true))).expect("it is read");
+    assert_eq!(read.inc, 9);
+    // Whatever the table says, with production among the members the hash decides.
+    let table = ShareTable::default().moved(&ShareRange::whole("a"), "b").moved(&ShareRange::whole("b"), "a");
+    for id in (0..20).map(|i| format!("m-{i}")) {
+        let home = owner(&all.members, &id).expect("a home");
+        assert_eq!(owner_by_shares(&mixed, &table, &id), Some(home));
+        assert_ne!(owner_by_shares(&all, &table, &id), Some(home));
+    }
+    let Message::Part(mut report) = message("part").message else { panic!("not a part's report") };
+    let Message::Orders(mut orders) = message("orders").message else { panic!("not orders") };
+    let plain =
+        (in_production(Message::Part(report.clone())), in_production(Message::Orders(orders.clone())));
+    report.handovers.accepted.push(1);
+    orders.handovers.push(HandoverOrder::Offer { id: 1 });
+    let with = (in_production(Message::Part(report)), in_production(Message::Orders(orders)));
+    assert_eq!(format!("{plain:?}"), format!("{with:?}"));
+}
+
 // A member says what it can do in its own key, which ends with its lease: when
 // its process comes back with the version of before, the key says nothing of it.
 #[test]
