--- a/crates/shares/src/handover.rs
+++ b/crates/shares/src/handover.rs
@@ -32,6 +32,8 @@
     Drain,
     /// Its owner has far more machines than others.
     Balance,
+    /// The table is full: its home takes the smallest share back.
+    Tidy,
 }
 
 /// A move that is wanted.
@@ -180,6 +182,10 @@
         self.under_way.values()
     }
 
+    fn in_state(&self, state: HandoverState) -> Vec<HandoverId> {
+        self.under_way.iter().filter(|(_, h)| h.state == state).map(|(id, _)| *id).collect()
+    }
+
     /// Whether a range takes part in a handover.
     pub fn moves(&self, range: &ShareRange) -> bool {
         self.under_way.values().any(|handover| handover.wanted.range.overlaps(range))
@@ -313,12 +319,7 @@
             return Some(TableWrite { table: table.clone() });
         }
         let mut table = present.clone();
-        let fenced: Vec<HandoverId> = self
-            .under_way
-            .iter()
-            .filter(|(_, h)| h.state == HandoverState::Fenced)
-            .map(|(id, _)| *id)
-            .collect();
+        let fenced = self.in_state(HandoverState::Fenced);
         if fenced.is_empty() {
             return None;
         }
@@ -350,13 +351,7 @@
     /// What was being written was refused for certain: the table, or the epoch, is another.
     pub fn refused(&mut self, now: Secs) {
         self.writing = None;
-        let ids: Vec<HandoverId> = self
-            .under_way
-            .iter()
-            .filter(|(_, h)| h.state == HandoverState::Committing)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ids {
+        for id in self.in_state(HandoverState::Committing) {
             self.end(id, HandoverEnd::Refused, now);
         }
     }
--- a/crates/shares/src/planner.rs
+++ b/crates/shares/src/planner.rs
@@ -3,7 +3,7 @@
 //! a budget of moves.
 
 use crate::handover::{Handovers, MoveReason, WantedMove};
-use crate::plan::Plan;
+use crate::plan::{Plan, PlannedMove};
 use crate::position::Position;
 use crate::table::{ShareRange, ShareTable};
 use finchwood_model::clock::Secs;
@@ -46,6 +46,16 @@
     pub table: &'a ShareTable,
 }
 
+/// A move that could be made.
+#[derive(Debug)]
+struct Choice {
+    wanted: WantedMove,
+    /// How many machines move.
+    machines: usize,
+    /// Which of the planned moves it carries out.
+    planned: Option<usize>,
+}
+
 /// Chooses moves.
 #[derive(Debug, Clone)]
 pub struct Planner {
@@ -83,20 +93,32 @@
         self.placed.clear();
     }
 
-    /// The next move, if one is wanted and the budget allows it.
+    /// The next move, if one is wanted and the budget allows it. Where the table is too
+    /// full for it, a home takes back the smallest share instead.
     pub fn next(&mut self, fleet: Fleet, handovers: &Handovers, now: Secs) -> Option<WantedMove> {
         self.refill(now);
-        let full = fleet.table.len() >= self.limits.most_shares;
-        if self.budget < 1.0 || full {
+        if self.budget < 1.0 {
             return None;
         }
-        let wanted = self
-            .planned(fleet, handovers)
-            .or_else(|| self.drained(fleet, handovers))
-            .or_else(|| self.balanced(fleet, handovers))?;
+        let choices = [self.planned(fleet, handovers), self.drained(fleet, handovers)];
+        let choices = choices.into_iter().flatten().chain(self.balanced(fleet, handovers));
+        let choices: Vec<Choice> = choices.collect();
+        if choices.is_empty() {
+            return None;
+        }
+        let fits = |choice: &Choice| {
+            let wanted = &choice.wanted;
+            fleet.table.moved(&wanted.range, &wanted.taker).len() <= self.limits.most_shares
+        };
+        let choice = choices.into_iter().find(fits).or_else(|| self.tidied(fleet, handovers))?;
         self.budget -= 1.0;
-        self.moved.push((wanted.range.clone(), now));
-        Some(wanted)
+        self.moved.push((choice.wanted.range.clone(), now));
+        if let Some(planned) = choice.planned {
+            let wanted = &mut self.plan.moves[planned];
+            wanted.machines = wanted.machines.saturating_sub(choice.machines);
+            self.placed.push(choice.wanted.range.clone());
+        }
+        Some(choice.wanted)
     }
 
     fn refill(&mut self, now: Secs) {
@@ -107,48 +129,60 @@
         self.moved.retain(|(_, at)| now - *at < limits.rest_s);
     }
 
-    /// The first planned move that can be made; what it moves is counted off.
-    fn planned(&mut self, fleet: Fleet, handovers: &Handovers) -> Option<WantedMove> {
-        let mut plan = std::mem::take(&mut self.plan);
-        plan.moves.retain(|wanted| wanted.machines > 0 && fleet.members.contains(&wanted.to));
-        let mut chosen = None;
-        for wanted in &mut plan.moves {
-            // Whoever has nothing left has given all that it can.
-            if !fleet.machines.iter().any(|machine| machine.owner == wanted.from) {
-                wanted.machines = 0;
-                continue;
-            }
-            let most = wanted.machines.min(self.limits.machines_per_move);
-            if let Some((range, count)) = run_of(&wanted.from, most, fleet, handovers, &[]) {
-                wanted.machines -= count.min(wanted.machines);
-                self.placed.push(range.clone());
-                chosen = Some(WantedMove {
-                    range,
-                    giver: wanted.from.clone(),
-                    taker: wanted.to.clone(),
-                    reason: MoveReason::Plan,
-                });
-                break;
-            }
-        }
-        self.plan = plan;
-        chosen
+    /// The first planned move that can be made.
+    fn planned(&mut self, fleet: Fleet, handovers: &Handovers) -> Option<Choice> {
+        // Whoever has nothing left has given all that it can.
+        let owns = |name: &String| fleet.machines.iter().any(|machine| machine.owner == *name);
+        let possible = |wanted: &PlannedMove| {
+            wanted.machines > 0 && fleet.members.contains(&wanted.to) && owns(&wanted.from)
+        };
+        self.plan.moves.retain(possible);
+        let most = self.limits.machines_per_move;
+        self.plan.moves.iter().enumerate().find_map(|(planned, wanted)| {
+            let most = wanted.machines.min(most);
+            let (range, machines) = run_of(&wanted.from, most, fleet, handovers, &[])?;
+            let (giver, taker) = (wanted.from.clone(), wanted.to.clone());
+            let wanted = WantedMove { range, giver, taker, reason: MoveReason::Plan };
+            Some(Choice { wanted, machines, planned: Some(planned) })
+        })
     }
 
-    /// A share of a controller that is to be emptied goes to whoever owns least.
-    fn drained(&self, fleet: Fleet, handovers: &Handovers) -> Option<WantedMove> {
+    /// A share of a controller that is to be emptied goes to whoever owns least, or to
+    /// another whose share it makes larger, if the table has no room for one more.
+    fn drained(&self, fleet: Fleet, handovers: &Handovers) -> Option<Choice> {
         let counts = counts(fleet, handovers);
-        let taker = self.least(&counts)?;
-        self.plan.drain.iter().find_map(|giver| {
-            let (range, _) = run_of(giver, self.limits.machines_per_move, fleet, handovers, &[])?;
-            let reason = MoveReason::Drain;
-            Some(WantedMove { range, giver: giver.clone(), taker: taker.clone(), reason })
-        })
+        let least = self.least(&counts)?;
+        let (giver, (range, machines)) = self.plan.drain.iter().find_map(|giver| {
+            Some((giver, run_of(giver, self.limits.machines_per_move, fleet, handovers, &[])?))
+        })?;
+        let others = counts.keys().filter(|name| !self.plan.drain.contains(name));
+        let fits = |taker: &&String| fleet.table.moved(&range, taker).len() <= self.limits.most_shares;
+        let taker = Some(&least).filter(fits).or_else(|| others.clone().find(fits)).unwrap_or(&least);
+        let (giver, taker) = (giver.clone(), taker.clone());
+        let wanted = WantedMove { range, giver, taker, reason: MoveReason::Drain };
+        Some(Choice { wanted, machines, planned: None })
+    }
+
+    /// The share with the fewest machines goes back to its home.
+    fn tidied(&self, fleet: Fleet, handovers: &Handovers) -> Option<Choice> {
+        let live = |name: &str| fleet.members.contains(name);
+        let can_go = fleet.table.shares().filter(|(range, owner)| {
+            let home = &range.home;
+            live(home) && live(owner) && !self.plan.drain.contains(home) && !handovers.moves(range)
+        });
+        let machines_in = |range: &ShareRange| {
+            fleet.machines.iter().filter(|m| range.contains(&m.home, m.position)).count()
+        };
+        let smallest = can_go.map(|(range, owner)| (machines_in(range), range, owner)).min()?;
+        let (machines, range, owner) = smallest;
+        let (giver, taker) = (owner.to_string(), range.home.clone());
+        let wanted = WantedMove { range: range.clone(), giver, taker, reason: MoveReason::Tidy };
+        Some(Choice { wanted, machines, planned: None })
     }
 
     /// A share of the controller that owns most goes to the one that owns least, if the
     /// difference is large.
-    fn balanced(&self, fleet: Fleet, handovers: &Handovers) -> Option<WantedMove> {
+    fn balanced(&self, fleet: Fleet, handovers: &Handovers) -> Option<Choice> {
         let counts = counts(fleet, handovers);
         let taker = self.least(&counts)?;
         let (giver, most) = counts.iter().max_by_key(|(name, count)| (**count, (*name).clone()))?;
@@ -161,8 +195,9 @@
         let machines = (difference / 2).min(self.limits.machines_per_move);
         let recent = self.moved.iter().map(|(range, _)| range);
         let resting: Vec<ShareRange> = recent.chain(&self.placed).cloned().collect();
-        let (range, _) = run_of(giver, machines, fleet, handovers, &resting)?;
-        Some(WantedMove { range, giver: giver.clone(), taker, reason: MoveReason::Balance })
+        let (range, machines) = run_of(giver, machines, fleet, handovers, &resting)?;
+        let wanted = WantedMove { range, giver: giver.clone(), taker, reason: MoveReason::Balance };
+        Some(Choice { wanted, machines, planned: None })
     }
 
     /// Who owns least, of those that are not to be emptied.
@@ -202,11 +237,11 @@
     };
     let mut best: Option<(ShareRange, usize)> = None;
     let mut run: Option<(ShareRange, usize)> = None;
-    for machine in sorted {
+    for (at, machine) in sorted.iter().enumerate() {
         let extends = run.as_ref().is_some_and(|(range, count)| range.home == machine.home && *count < most);
         let (first, count) = match &run {
             Some((range, count)) if extends => (range.first, *count + 1),
-            _ => (machine.position, 1),
+            _ => (first_of(&sorted, at), 1),
         };
         let range = ShareRange { home: machine.home.clone(), first, last: machine.position };
         let whole = !stays(machine) && fleet.table.sole_owner(&range) == Some(giver);
@@ -219,3 +254,13 @@
     }
     best
 }
+
+/// Where a range begins that begins with a machine: right behind the machine before it, so
+/// that ranges meet and neighbours with one owner become one share.
+fn first_of(sorted: &[&OwnedMachine], at: usize) -> Position {
+    let before = at.checked_sub(1).map(|before| sorted[before]);
+    match before.filter(|before| before.home == sorted[at].home) {
+        Some(before) => before.position + 1,
+        None => 0,
+    }
+}
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -287,6 +287,27 @@
     }
 }
 
+/// What the workers have seen.
+pub fn lock(seen: &Mutex<Seen>) -> std::sync::MutexGuard<'_, Seen> {
+    seen.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Waits for what must happen.
+pub fn wait(what: &str, done: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !done() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// How many tasks of these jobs are on machines.
+pub fn running(seen: &Mutex<Seen>, jobs: &[(&str, &str, u32)]) -> usize {
+    let seen = lock(seen);
+    let theirs = |task: &str| jobs.iter().any(|(id, _, _)| task.starts_with(id));
+    seen.on.iter().filter(|(task, on)| theirs(task) && !on.is_empty()).count()
+}
+
 /// A submission.
 pub fn job(id: &str, shape: &str, tasks: u32) -> Value {
     json!({"id": id, "flock": "f", "nest": "t", "shape": shape, "rank": "prod", "chicks": tasks,
