Machines that change hands are left alone by the leader, and don't look silent

Read in the code: while a share changes hands two controllers tell of its machines; by its giver's last word a machine is empty and to be returned, while its taker has started something there. And a fenced machine whose table can't be written for long looked silent, as its reports were not noted.

Change: nothing is returned, emptied or replaced that is being handed over or has two owners in the leader's view; a fenced machine's reports are signs of life.

--- a/src/assignment/machines.rs
+++ b/src/assignment/machines.rs
@@ -88,6 +88,12 @@
         })
     }
 
+    /// Whether a single part tells of a machine. For a moment of a handover two do: what
+    /// its giver last said of it is not what its taker makes of it.
+    pub fn has_one_owner(&self, id: &MachineId) -> bool {
+        self.parts.values().filter(|part| part.machines.contains_key(id)).count() == 1
+    }
+
     /// Every machine that some part reports.
     pub fn machines(&self) -> impl Iterator<Item = &MachineView> {
         self.parts.values().flat_map(|p| p.machines.values().map(|m| &m.view))
--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -273,6 +273,11 @@
             let Some(sign) = signs.get(&m.id).filter(|_| !self.renting.deleted.contains_key(&m.id)) else {
                 continue;
             };
+            // Guard: deleted by its giver's word, that it is empty, while its taker had already
+            // started something there.
+            if self.is_changing_hands(&m.id) {
+                continue;
+            }
             match detector.verdict(sign) {
                 Verdict::Replace if !evicts_unasked && sign.is_only_silent() => continue,
                 Verdict::Replace => {
--- a/src/controller/shares.rs
+++ b/src/controller/shares.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Whether a machine is being handed over, so that nobody's word on it is final.
+    pub(super) fn is_changing_hands(&self, machine: &MachineId) -> bool {
+        let (Some(shares), Some(epoch)) = (&self.shares, self.my_epoch()) else { return false };
+        let Some(home) = membership::owner(&epoch.members, machine) else { return false };
+        let at = position(machine);
+        let moves = shares.handovers.under_way().any(|h| h.wanted.range.contains(home, at));
+        moves || !self.leader.has_one_owner(machine)
+    }
+
     /// Sends orders to all who take part in handovers, but for one who gets them anyway.
     fn tell_sides(&mut self, but: &str) {
         let Some(shares) = &self.shares else { return };
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -10,7 +10,7 @@
 use super::{Held, Leave, Part, Phase, Place, ReportReply, Stop};
 use crate::clock::{self, Secs};
 use crate::jobs::Mirror;
-use crate::membership::{self, token};
+use crate::membership::{self, token, token_epoch};
 use crate::wire::{Call, MachineId, Report, Task, TaskState};
 use finchwood_shares::handover::{HandoverId, HandoverOrder, HandoverReport};
 use finchwood_shares::knowledge::{LineKnowledge, MachineKnowledge, TaskKnowledge};
@@ -154,6 +154,10 @@
             return ReportReply::Refuse;
         }
         m.answered = Some(now);
+        // Guard: it would look silent for as long as the table can't be written.
+        if token_epoch(r.token) == epoch {
+            m.heard = Some(now);
+        }
         let cancelled = |task: &str| {
             let job = Task::parse(task).and_then(|task| mirror.jobs.get(&task.job));
             job.is_some_and(|job| job.record.cancelled)
--- a/tests/handovers.rs
+++ b/tests/handovers.rs
@@ -425,6 +425,33 @@
     }
 }
 
+/// While a share changes hands nobody's word on its machines is final: the leader hears of
+/// them from both sides, and a machine that is fenced for long does not look silent.
+#[test]
+fn machines_that_change_hands_have_no_single_owner_and_are_not_silent() {
+    let mut two = Two::new();
+    two.begin();
+    two.until(HandoverState::Committing);
+    for _ in 0..30 {
+        two.now += 1.0;
+        let ids: Vec<MachineId> = two.workers.keys().cloned().collect();
+        ids.iter().for_each(|id| assert!(two.reports(id)));
+    }
+    let now = two.now;
+    let told = two.parts.get_mut("a").expect("a part").snapshot(&two.mirror, now);
+    assert!(told.quiet.is_empty(), "{:?}", told.quiet);
+    let moving = two.parts["a"].fenced_machines();
+    two.until(HandoverState::Committed);
+    let mut orders = two.leader.orders("b").expect("orders");
+    orders.handovers = two.handovers.orders_for("b");
+    two.parts.get_mut("b").expect("a part").orders(&orders, &two.mirror, now);
+    let report = two.parts.get_mut("b").expect("a part").snapshot(&two.mirror, now);
+    assert!(two.leader.part_report(report, &two.mirror, now));
+    assert!(moving.iter().all(|id| !two.leader.has_one_owner(id)), "its giver has not let go yet");
+    two.settles("moved");
+    assert!(moving.iter().all(|id| two.leader.has_one_owner(id)));
+}
+
 /// A machine that comes on the roster while its range moves gets no orders of the giver.
 #[test]
 fn a_machine_that_appears_while_its_range_moves_is_fenced_too() {
