--- a/src/assignment/machines.rs
+++ b/src/assignment/machines.rs
@@ -23,7 +23,7 @@
 pub struct MachineNow<'a> {
     pub view: &'a MachineView,
     pub silent_s: f64,
-    pub deaf_s: Option<f64>,
+    pub unanswered_s: Option<f64>,
     pub idle_s: f64,
     /// How its owner reaches its zone. A report that came through a third
     /// controller shows nothing of that.
@@ -77,7 +77,7 @@
                 MachineNow {
                     view: &m.view,
                     silent_s: quiet.map_or(0.0, |q| q.silent_s + age),
-                    deaf_s: quiet.and_then(|q| q.deaf_s).map(|d| d + age),
+                    unanswered_s: quiet.and_then(|q| q.unanswered_s).map(|d| d + age),
                     idle_s: if m.view.tasks == 0 { now - m.idle_since } else { 0.0 },
                     reached: p
                         .zones_met
@@ -104,8 +104,8 @@
     /// it is the owner whose answers come too late, not the machines.
     pub fn owner_unheard(&self, id: &MachineId) -> bool {
         self.parts.values().find(|p| p.machines.contains_key(id)).is_some_and(|p| {
-            let heedless = p.machines.values().filter(|m| m.view.heedless).count();
-            heedless >= 2 && heedless * 4 >= p.machines.len()
+            let ignores_commands = p.machines.values().filter(|m| m.view.ignores_commands).count();
+            ignores_commands >= 2 && ignores_commands * 4 >= p.machines.len()
         })
     }
 
--- a/src/assignment/mod.rs
+++ b/src/assignment/mod.rs
@@ -28,6 +28,7 @@
 use crate::rent::Want;
 use crate::settings::{Settings, Team};
 use crate::wire::{JobId, JobSpec, MachineId, Shape};
+use finchwood_model::token::MOST_COUNTER;
 use finchwood_reconcile::doubt::JobPhase;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -135,6 +136,8 @@
     /// Parts whose holdings have come in since the last task became unknown.
     joined: BTreeSet<String>,
     attempts: u64,
+    /// No attempt number above this one is used in an epoch.
+    pub attempt_limit: u64,
     teams: HashMap<Arc<str>, Team>,
     start_aims: HashMap<Arc<str>, f64>,
     classes_with_aims: HashSet<Arc<str>>,
@@ -180,6 +183,7 @@
             news: true,
             joined: BTreeSet::new(),
             attempts: 0,
+            attempt_limit: MOST_COUNTER,
             teams: settings.params.teams.iter().map(|t| (t.name.as_str().into(), t.clone())).collect(),
             start_aims: settings.start_aims(),
             classes_with_aims: settings.classes_with_aims(),
@@ -269,6 +273,12 @@
         progress
     }
 
+    /// Whether half of the epoch's attempt numbers are used up: the next epoch has all
+    /// of them anew. At a thousand starts a second that takes more than two hours.
+    pub fn needs_new_epoch(&self) -> bool {
+        self.attempts > self.attempt_limit / 2
+    }
+
     /// A job is new or has changed in the mirror.
     pub fn job_changed(&mut self, id: &JobId, mirror: &Mirror) {
         let Some(job) = mirror.jobs.get(id) else { return };
@@ -333,7 +343,12 @@
 
     /// Machines that may still run tasks of jobs cancelled more than `after_s`
     /// ago: whatever stops were sent there, none is proven to have been obeyed.
-    pub fn not_rid(&self, mirror: &Mirror, day_ms: u64, after_s: Secs) -> BTreeSet<MachineId> {
+    pub fn machines_with_cancelled_tasks(
+        &self,
+        mirror: &Mirror,
+        day_ms: u64,
+        after_s: Secs,
+    ) -> BTreeSet<MachineId> {
         let mut out = BTreeSet::new();
         for (id, e) in &self.jobs {
             let Some(job) = mirror.jobs.get(id).filter(|j| j.record.cancelled) else { continue };
--- a/src/assignment/round.rs
+++ b/src/assignment/round.rs
@@ -160,7 +160,9 @@
         let used = round.used.entry(spec.team.clone()).or_default();
         let free = self.free_tasks(e, job, used);
         let gang_may_not = spec.shape == Shape::Gang && !(self.gangs_allowed && e.gang_may_start(free.len()));
-        if free.is_empty() || gang_may_not {
+        // Guard: a number beyond the limit would be one of a later epoch.
+        let numbers_left = self.attempts + free.len() as u64 <= self.attempt_limit;
+        if free.is_empty() || gang_may_not || !numbers_left {
             return;
         }
         let age_s = round.age_s(e);
--- a/src/controller/members.rs
+++ b/src/controller/members.rs
@@ -86,7 +86,11 @@
             return;
         }
         let Some(live) = self.reachable_members(now) else { return };
-        let Some(next) = membership::next_epoch(self.mirror.epoch.as_ref(), &live) else {
+        let present = self.mirror.epoch.as_ref();
+        let renewed = || present.filter(|_| self.leading() && self.leader.needs_new_epoch());
+        let next =
+            membership::next_epoch(present, &live).or_else(|| renewed().map(membership::renewed_epoch));
+        let Some(next) = next else {
             self.epoch_wanted = None;
             return;
         };
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -22,7 +22,7 @@
 use crate::in_flight::Serial;
 use crate::jobs::Mirror;
 use crate::membership::{self, LeaseNews};
-use crate::peer::{CalledOff, Message, Peers};
+use crate::peer::{CancellationNotice, Message, Peers};
 use crate::policy::Policy;
 use crate::reachability::Reachability;
 use crate::restart_report::Published;
@@ -104,14 +104,14 @@
     /// Workers of other parts that came here.
     redirected: HashMap<MachineId, PassingWorker>,
     /// Cancellations committed here a moment ago, and since when.
-    called_off: Vec<(CalledOff, Secs)>,
+    cancellation_notices: Vec<(CancellationNotice, Secs)>,
     /// Running tasks per job, as the leader last told.
     running: HashMap<JobId, u32>,
     /// Which of the others said that they reach the state service, and when.
     healthy: HashMap<String, Secs>,
     /// Whom each of the others hears, and when it said so.
     hears: HashMap<String, (Secs, Vec<String>)>,
-    ways: Reachability,
+    reachability: Reachability,
     began: Secs,
     epoch_wanted: Option<Secs>,
     epoch_pending: bool,
@@ -208,11 +208,11 @@
             finishes: FinishesInFlight::default(),
             roster: Roster::default(),
             redirected: HashMap::new(),
-            called_off: Vec::new(),
+            cancellation_notices: Vec::new(),
             running: HashMap::new(),
             healthy: HashMap::new(),
             hears: HashMap::new(),
-            ways: Reachability::new(&settings.zone, others, report_s * 2.0),
+            reachability: Reachability::new(&settings.zone, others, report_s * 2.0),
             began: clock::now(),
             epoch_wanted: None,
             epoch_pending: false,
@@ -286,7 +286,7 @@
             Msg::Cloud(answer) => self.cloud_answer(answer, now),
             Msg::Apart(name, apart) => {
                 tracing::info!(name, apart, "the way to another controller changed");
-                self.ways.reached(&name, !apart);
+                self.reachability.reached(&name, !apart);
             }
             Msg::Direct(d) => {
                 let pool = if d.sent.doubtful { &mut self.doubtful } else { &mut self.directs };
@@ -366,7 +366,7 @@
         }
         let report_s = self.settings.params.workers.report_s;
         self.healthy.retain(|_, t| now - *t < report_s * 2.0);
-        self.called_off.retain(|c| now - c.1 < report_s * 2.0);
+        self.cancellation_notices.retain(|c| now - c.1 < report_s * 2.0);
         if now - self.said_hello > report_s / 3.0 {
             self.said_hello = now;
             let names: Vec<String> = self.peers.names().cloned().collect();
--- a/src/controller/peers.rs
+++ b/src/controller/peers.rs
@@ -9,14 +9,14 @@
 impl Controller {
     pub(super) fn peer(&mut self, e: Envelope, now: Secs) {
         self.hears.insert(e.from.clone(), (now, e.hears.clone()));
-        self.ways.told(&e.from, e.apart.clone(), now);
+        self.reachability.told(&e.from, e.apart.clone(), now);
         if e.fresh {
             self.healthy.insert(e.from.clone(), now);
         }
         // What is committed is so for whoever hears of it: a controller that
         // the state service refuses need not wait until it is answered again.
-        for c in &e.called_off {
-            if self.mirror.call_off(&c.job, c.version, c.at_ms) {
+        for c in &e.cancellation_notices {
+            if self.mirror.apply_cancellation(&c.job, c.version, c.at_ms) {
                 self.job_changed(&c.job);
             }
         }
@@ -63,8 +63,8 @@
             to: to.into(),
             fresh: !self.state_down && self.fresh_at.is_some(),
             hears: self.healthy.keys().cloned().collect(),
-            apart: self.ways.apart(),
-            called_off: self.called_off.iter().map(|c| c.0.clone()).collect(),
+            apart: self.reachability.apart(),
+            cancellation_notices: self.cancellation_notices.iter().map(|c| c.0.clone()).collect(),
             message,
         });
     }
--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -178,7 +178,7 @@
         delete.extend(up.emptied);
         delete.extend(self.machines_not_rid_of_cancelled_tasks());
         self.delete(delete, now);
-        let spare = self.leader.service_cpus() * self.policy.knobs.spare_share;
+        let spare = self.leader.service_cpus() * self.policy.rent_settings.spare_share;
         self.leader.reserve = spare;
         if consolidates {
             self.empty_machines(&up.in_use, &catalog, spare, now);
@@ -196,7 +196,8 @@
         let lacking = |offer: &Offer| self.renting.no_capacity.get(offer).is_some_and(|n| now < n.until);
         let blocked = |offer: &Offer| detector.lost(&offer.1) || lacking(offer);
         let zones = &not_up.ordinary_in_zone;
-        let orders = rent::rent(&wants, &not_up.booting, zones, &catalog, &self.policy.knobs, &blocked);
+        let orders =
+            rent::rent(&wants, &not_up.booting, zones, &catalog, &self.policy.rent_settings, &blocked);
         self.rent(orders, now);
     }
 
@@ -244,7 +245,7 @@
             let boot_s = catalog.get(&record.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
             // That it is up may not have been written before the leader changed.
             let heard_by_now = now - self.renting.led_since > report_s * 2.5;
-            let progress = self.policy.knobs.boot_progress(age_s, boot_s);
+            let progress = self.policy.rent_settings.boot_progress(age_s, boot_s);
             if progress == BootProgress::Never && heard_by_now {
                 out.never.push(id.clone());
             } else {
@@ -315,9 +316,10 @@
     /// for certain, in the time that is left.
     fn machines_not_rid_of_cancelled_tasks(&self) -> Vec<MachineId> {
         let after_s = self.settings.evict_after_s() - self.settings.params.time_bound_ms / 500.0;
-        let machines = self.leader.not_rid(&self.mirror, clock::day_ms(), after_s.max(0.0));
+        let machines =
+            self.leader.machines_with_cancelled_tasks(&self.mirror, clock::day_ms(), after_s.max(0.0));
         if !machines.is_empty() {
-            tracing::info!(not_rid = ?machines, "cancelled tasks may still be there");
+            tracing::info!(machines_with_cancelled_tasks = ?machines, "cancelled tasks may still be there");
         }
         machines.into_iter().collect()
     }
@@ -342,13 +344,13 @@
     /// some of them again if there is work for them after all.
     fn empty_machines(&mut self, in_use: &[InUse], catalog: &Catalog, spare: f64, now: Secs) {
         let report_s = self.settings.params.workers.report_s;
-        self.leader.drain.extend(rent::returns(in_use, catalog, spare, &self.policy.knobs));
+        self.leader.drain.extend(rent::returns(in_use, catalog, spare, &self.policy.rent_settings));
         if !self.leader.wants.is_empty() {
             self.reopen_machines(in_use);
         } else {
             if now - self.renting.emptied_at > report_s {
                 self.renting.emptied_at = now;
-                for id in rent::to_empty(in_use, catalog, spare, &self.policy.knobs) {
+                for id in rent::to_empty(in_use, catalog, spare, &self.policy.rent_settings) {
                     tracing::debug!(%id, "emptying");
                     self.leader.drain.insert(id);
                 }
@@ -444,11 +446,11 @@
                 zone: m.zone.clone(),
                 certain: m.certain,
                 silent_s: m.silent_s,
-                deaf_s: m.deaf_s,
+                unanswered_s: m.unanswered_s,
                 reached: m.reached,
                 met: met.contains(&m.id),
-                heedless: m.heedless,
-                owner_unheard: m.heedless && self.leader.owner_unheard(&m.id),
+                ignores_commands: m.ignores_commands,
+                owner_unheard: m.ignores_commands && self.leader.owner_unheard(&m.id),
             };
             (m.id.clone(), sign)
         };
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -6,7 +6,7 @@
 use crate::clock::{self, Secs};
 use crate::http::{error_body, Reply};
 use crate::jobs::{job_key, JobRecord};
-use crate::peer::CalledOff;
+use crate::peer::CancellationNotice;
 use crate::state::{Class, Op, Outcome, Write};
 use crate::wire::{Catalog, JobId, JobSpec, JobView, Shape};
 use std::collections::HashMap;
@@ -220,11 +220,11 @@
         let Some((at_ms, replies)) = self.users.withdraws.remove(&id) else { return };
         match outcome {
             Outcome::Done(version) => {
-                if self.mirror.call_off(&id, version, at_ms) {
+                if self.mirror.apply_cancellation(&id, version, at_ms) {
                     self.job_changed(&id);
                 }
                 // The others hear of it in this round: the machines may be theirs.
-                self.called_off.push((CalledOff { job: id.clone(), version, at_ms }, now));
+                self.cancellation_notices.push((CancellationNotice { job: id.clone(), version, at_ms }, now));
                 self.said_hello = f64::MIN;
                 for reply in replies {
                     self.answer_final(&id, reply);
--- a/src/controller/worker_reports.rs
+++ b/src/controller/worker_reports.rs
@@ -85,11 +85,11 @@
         // One that obeyed this epoch's token already has been told by its owner,
         // and would be there if it could.
         let obeyed = self.my_epoch().is_some_and(|e| membership::token_epoch(report.token) == e.n);
-        let cut = self.ways.cut(&report.zone, &owner, now);
+        let cut = self.reachability.cut(&report.zone, &owner, now);
         let relay = cut || tried.is_some() || obeyed && first;
         // While its zone is known to be apart from its owner's it need not try,
         // and goes on to one that reaches both.
-        let around = if cut { self.ways.around(&owner, now).map(String::from) } else { None };
+        let around = if cut { self.reachability.around(&owner, now).map(String::from) } else { None };
         let passing = PassingWorker::after(known, &report, tried, now);
         self.redirected.insert(report.machine, passing);
         match self.relays.get(&owner) {
--- a/src/failure_detection.rs
+++ b/src/failure_detection.rs
@@ -18,7 +18,7 @@
 const ALONE_REPORTS: f64 = 2.0;
 const UNKNOWN_REPORTS: f64 = 4.5;
 /// For so long it must have failed to answer: it is asked again meanwhile.
-const DEAF_REPORTS: f64 = 0.25;
+const UNANSWERED_REPORTS: f64 = 0.25;
 /// A machine that others meet, or whose zone is cut off, is kept for so many
 /// leases.
 const CUT_LEASES: f64 = 3.0;
@@ -59,13 +59,13 @@
     pub silent_s: f64,
     /// Since when it has not answered when asked, while others of its zone were
     /// reached.
-    pub deaf_s: Option<f64>,
+    pub unanswered_s: Option<f64>,
     /// How its owner reaches its zone.
     pub reached: Option<Reached>,
     /// Some other controller has met its worker lately.
     pub met: bool,
     /// Its reports arrive, but nothing reaches it.
-    pub heedless: bool,
+    pub ignores_commands: bool,
     /// Nothing reaches a quarter of its owner's machines.
     pub owner_unheard: bool,
 }
@@ -73,7 +73,7 @@
 impl MachineHealth {
     /// Nothing speaks against it but its silence: it was not asked in vain.
     pub fn is_only_silent(&self) -> bool {
-        self.deaf_s.is_none() && !self.heedless
+        self.unanswered_s.is_none() && !self.ignores_commands
     }
 }
 
@@ -117,7 +117,7 @@
             }
             let z = zones.entry(s.zone.clone()).or_default();
             z.0 += 1;
-            z.1 += u32::from(s.silent_s > report_s * ALONE_REPORTS || s.heedless);
+            z.1 += u32::from(s.silent_s > report_s * ALONE_REPORTS || s.ignores_commands);
         }
         let cut = zones.into_iter().filter(|(_, (all, silent))| *silent >= 2 && silent * 2 >= *all);
         FailureDetector { report_s, lease_s, cut: cut.map(|z| z.0).collect(), reached }
@@ -138,12 +138,12 @@
     pub fn verdict(&self, s: &MachineHealth) -> Verdict {
         let recent = s.reached.filter(|r| r.last_s <= self.report_s * ALONE_REPORTS);
         let back_s = recent.map(|r| r.since_s).or_else(|| self.reached.get(&s.zone).copied());
-        let alone = s.deaf_s.is_some_and(|d| d > self.report_s * DEAF_REPORTS);
+        let alone = s.unanswered_s.is_some_and(|d| d > self.report_s * UNANSWERED_REPORTS);
         // While nobody of the zone was reached, its silence says nothing.
         let silent_s = back_s.map_or(s.silent_s, |b| s.silent_s.min(b));
         // Reports that come and answers that don't arrive: never those of a
         // whole zone, or of a part whose owner is too slow to be heard.
-        if s.heedless && !self.cut(&s.zone) && !s.owner_unheard {
+        if s.ignores_commands && !self.cut(&s.zone) && !s.owner_unheard {
             return Verdict::Replace;
         }
         let limit = match (s.met, alone, self.lost(&s.zone)) {
--- a/src/fleet/commands.rs
+++ b/src/fleet/commands.rs
@@ -185,7 +185,7 @@
                 continue;
             }
             let (Some(addr), session) = (m.addr.clone(), m.session) else { continue };
-            let doubtful = m.deaf.is_some() || m.heard.is_none_or(|h| now - h > late);
+            let doubtful = m.unanswered_since.is_some() || m.heard.is_none_or(|h| now - h > late);
             let left = if doubtful { &mut room.doubtful } else { &mut room.sound };
             if *left == 0 {
                 continue;
@@ -223,7 +223,7 @@
             Some(r) if r.machine == *id && token_epoch(r.token) <= epoch => {
                 // It has just been reached: what it is told reaches it. That
                 // renews no lease, though: only an answered report does.
-                m.unheeded = None;
+                m.unacknowledged = None;
                 m.obeyed(report_s, now);
                 if r.token > token(epoch, m.counter) {
                     m.counter = token_counter(r.token) + 1;
@@ -256,10 +256,10 @@
                 let late = m.heard.is_none_or(|h| now - h > report_s * LATE_REPORTS);
                 let asked = m.asked.unwrap_or(now);
                 let others = self.reached.get(&m.zone).is_some_and(|s| s.last > asked);
-                let suspect = late && others && m.deaf.is_none();
+                let suspect = late && others && m.unanswered_since.is_none();
                 m.direct_bad_until = if suspect { now } else { now + report_s };
                 if suspect {
-                    m.deaf = Some(now);
+                    m.unanswered_since = Some(now);
                 }
             }
         }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -13,7 +13,7 @@
 
 /// A worker that has answered direct commands for so many intervals without one
 /// report is mute: it goes round all controllers in less.
-const MUTE_REPORTS: f64 = 3.5;
+const SILENT_REPORTS: f64 = 3.5;
 
 #[derive(Debug, Clone)]
 pub(super) struct Machine {
@@ -25,7 +25,7 @@
     pub(super) asked: Option<Secs>,
     /// Since when it does not answer, asked after a silence, while others of
     /// its zone are reached.
-    pub(super) deaf: Option<Secs>,
+    pub(super) unanswered_since: Option<Secs>,
     pub(super) listed: bool,
     pub(super) up: bool,
     /// What is known of its content.
@@ -52,7 +52,7 @@
     pub(super) images: VecDeque<(Arc<str>, f64)>,
     pub(super) probe: bool,
     /// The first answer that the worker has not shown to have seen.
-    pub(super) unheeded: Option<Unheeded>,
+    pub(super) unacknowledged: Option<Unacknowledged>,
     /// When its token was last raised only to see whether it follows.
     pub(super) tested: Option<Secs>,
     /// Direct commands answered without any report between.
@@ -72,7 +72,7 @@
 
 /// An answer that shows no effect.
 #[derive(Debug, Clone)]
-pub(super) struct Unheeded {
+pub(super) struct Unacknowledged {
     pub(super) token: u64,
     pub(super) since: Secs,
     pub(super) answers: u32,
@@ -86,7 +86,7 @@
             spot: false,
             addr: None,
             asked: None,
-            deaf: None,
+            unanswered_since: None,
             listed: false,
             up: false,
             state: MachineState::Unheard,
@@ -107,7 +107,7 @@
             idle_since: now,
             images: VecDeque::new(),
             probe: false,
-            unheeded: None,
+            unacknowledged: None,
             tested: None,
             unreported: None,
             reconciled: false,
@@ -141,8 +141,8 @@
         now: Secs,
     ) {
         let mine = token_epoch(r.token) == epoch;
-        if self.unheeded.as_ref().is_some_and(|u| r.token >= u.token) {
-            self.unheeded = None;
+        if self.unacknowledged.as_ref().is_some_and(|u| r.token >= u.token) {
+            self.unacknowledged = None;
         }
         // Its lease ran out although it was answered well within it.
         let risen = mine && self.session > 0 && r.session > self.session;
@@ -156,7 +156,7 @@
     /// An answer with `token` went out to a report that showed `seen`.
     pub(super) fn told(&mut self, seen: u64, token: u64, now: Secs) {
         if seen < token {
-            let u = self.unheeded.get_or_insert(Unheeded { token, since: now, answers: 0 });
+            let u = self.unacknowledged.get_or_insert(Unacknowledged { token, since: now, answers: 0 });
             u.answers += 1;
         }
     }
@@ -164,17 +164,17 @@
     /// An answer has not been heeded for longer than its worker takes to
     /// report again: no new work until it is.
     pub(super) fn suspect(&self, report_s: Secs, now: Secs) -> bool {
-        self.unheeded.as_ref().is_some_and(|u| u.answers >= 2 && now - u.since > report_s * 1.5)
-            || self.mute_for(now) > report_s * MUTE_REPORTS * 0.75
+        self.unacknowledged.as_ref().is_some_and(|u| u.answers >= 2 && now - u.since > report_s * 1.5)
+            || self.unreported_for(now) > report_s * SILENT_REPORTS * 0.75
     }
 
     /// It answers direct commands but doesn't report: those renew no lease, so
     /// that what runs there will be killed, and what is started anew as well.
-    pub(super) fn mute(&self, report_s: Secs, now: Secs) -> bool {
-        self.mute_for(now) > report_s * MUTE_REPORTS
+    pub(super) fn stopped_reporting(&self, report_s: Secs, now: Secs) -> bool {
+        self.unreported_for(now) > report_s * SILENT_REPORTS
     }
 
-    pub(super) fn mute_for(&self, now: Secs) -> Secs {
+    pub(super) fn unreported_for(&self, now: Secs) -> Secs {
         self.unreported.as_ref().map_or(0.0, |u| now - u.since)
     }
 
@@ -183,7 +183,7 @@
     /// went before says nothing: an outage made half a fleet look mute.
     pub(super) fn obeyed(&mut self, report_s: Secs, now: Secs) {
         match &mut self.unreported {
-            Some(u) if now - u.last < report_s * MUTE_REPORTS / 1.5 => u.last = now,
+            Some(u) if now - u.last < report_s * SILENT_REPORTS / 1.5 => u.last = now,
             _ => self.unreported = Some(Unreported { since: now, last: now }),
         }
     }
@@ -205,8 +205,8 @@
     /// Its reports arrive, but nothing that it is answered or told reaches it:
     /// for so long that one lost answer, after which a worker tries other
     /// controllers first, can't be why.
-    pub(super) fn heedless(&self, report_s: Secs, now: Secs) -> bool {
-        self.unheeded.as_ref().is_some_and(|u| u.answers >= 3 && now - u.since > report_s * 3.0)
+    pub(super) fn ignores_commands(&self, report_s: Secs, now: Secs) -> bool {
+        self.unacknowledged.as_ref().is_some_and(|u| u.answers >= 3 && now - u.since > report_s * 3.0)
     }
 
     /// Makes the token higher than `floor`, if it isn't.
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -90,7 +90,8 @@
     /// Only one way between it and its owner is open: its reports arrive, but it
     /// acts on nothing it is answered, or it obeys direct commands but doesn't
     /// report. Its worker's lease runs out all the same.
-    pub heedless: bool,
+    #[serde(rename = "heedless")]
+    pub ignores_commands: bool,
     pub draining: bool,
     pub tasks: u32,
     /// Images that are likely cached there, by name.
@@ -104,7 +105,8 @@
     pub silent_s: f64,
     /// Since when it has not answered when asked, while others of its zone were
     /// reached.
-    pub deaf_s: Option<f64>,
+    #[serde(rename = "deaf_s")]
+    pub unanswered_s: Option<f64>,
 }
 
 /// What a part tells the leader: all that changed since report `since`, which
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -96,7 +96,7 @@
         let alive = fresh || token_epoch(r.token) == self.epoch;
         if alive {
             m.asked = None;
-            m.deaf = None;
+            m.unanswered_since = None;
         }
         if m.heard.is_none() && alive {
             m.idle_since = now;
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -39,7 +39,9 @@
             open: self.open(m, now),
             noticed: m.notice_until.is_some(),
             faulty: m.faulty(),
-            heedless: m.heedless(self.timing.report_s, now) || m.mute(self.timing.report_s, now) || m.spent(),
+            ignores_commands: m.ignores_commands(self.timing.report_s, now)
+                || m.stopped_reporting(self.timing.report_s, now)
+                || m.spent(),
             draining: m.draining,
             tasks: (self.held.count_on(id) as u32).max(m.lines.len() as u32),
             images,
@@ -69,8 +71,12 @@
                 machines.push(entry.0.clone());
             }
             let silent_s = now - m.heard.unwrap_or(self.entered.max(m.since));
-            if silent_s > self.timing.report_s * LATE_REPORTS || m.deaf.is_some() {
-                quiet.push(Quiet { id: id.clone(), silent_s, deaf_s: m.deaf.map(|d| now - d) });
+            if silent_s > self.timing.report_s * LATE_REPORTS || m.unanswered_since.is_some() {
+                quiet.push(Quiet {
+                    id: id.clone(),
+                    silent_s,
+                    unanswered_s: m.unanswered_since.map(|d| now - d),
+                });
             }
         }
         let reached = self.reached.iter();
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -399,7 +399,7 @@
     /// as another controller tells it. That needs no epoch and no order: a live
     /// record becomes nothing else than cancelled by it, and what is known
     /// already stays. False if nothing has changed.
-    pub fn call_off(&mut self, id: &JobId, version: u64, at_ms: u64) -> bool {
+    pub fn apply_cancellation(&mut self, id: &JobId, version: u64, at_ms: u64) -> bool {
         match self.jobs.get_mut(id) {
             Some(job) if job.live() && job.version < version => {
                 job.record.cancelled = true;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -31,6 +31,12 @@
     }
 }
 
+/// The epoch that follows when the present one's leader is about to run out of attempt
+/// numbers: the same members and leader, and all numbers anew.
+pub fn renewed_epoch(present: &Epoch) -> Epoch {
+    Epoch { n: present.n + 1, ..present.clone() }
+}
+
 /// The live member that owns a machine: the highest hash of both names.
 pub fn owner<'a>(members: &'a BTreeMap<String, u64>, machine: &str) -> Option<&'a str> {
     members
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{self, Secs};
 use crate::fleet::{Orders, PartReport};
+use crate::http::largest_message;
 use crate::settings::Settings;
 use crate::state::spawn;
 use crate::wire::JobId;
@@ -34,7 +35,7 @@
 
 /// That a job's cancellation was committed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct CalledOff {
+pub struct CancellationNotice {
     pub job: JobId,
     /// The revision that its record has with it.
     pub version: u64,
@@ -57,8 +58,8 @@
     pub apart: Vec<String>,
     /// Jobs whose cancellation was committed a moment ago. Facts that need no
     /// epoch, said again and again for a while.
-    #[serde(default)]
-    pub called_off: Vec<CalledOff>,
+    #[serde(rename = "called_off", default)]
+    pub cancellation_notices: Vec<CancellationNotice>,
     pub message: Message,
 }
 
@@ -95,6 +96,7 @@
     {
         let mut boxes = HashMap::new();
         let timeout = settings.params.workers.report_s / 3.0;
+        let limit = largest_message(settings.params.machine_limits.ram_mb);
         for m in &settings.members {
             let (mailbox, inbox) = bounded::<Envelope>(16);
             let others: Vec<SocketAddr> =
@@ -116,6 +118,9 @@
                     }
                     for e in latest.into_values() {
                         let bytes = e.encode();
+                        if bytes.len() > limit {
+                            tracing::error!(to = name, bytes = bytes.len(), limit, "a message is too long");
+                        }
                         if clock::now() >= apart_until {
                             let reached = send(&agent, to, &bytes);
                             if apart == reached {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,7 @@
 /// What a policy may set; see `docs/operations.md`.
 #[derive(Debug, Clone, Default)]
 pub struct Policy {
-    pub knobs: RentSettings,
+    pub rent_settings: RentSettings,
 }
 
 const MEMORY: usize = 4 << 20;
@@ -55,11 +55,11 @@
         for pair in table.pairs::<String, f64>() {
             let (field, value) = pair.map_err(script)?;
             let knob = match field.as_str() {
-                "idle_boots" => &mut policy.knobs.idle_boots,
-                "spare_share" => &mut policy.knobs.spare_share,
-                "low_waits_boots" => &mut policy.knobs.low_waits_boots,
-                "slack_share" => &mut policy.knobs.slack_share,
-                "never_boots" => &mut policy.knobs.never_boots,
+                "idle_boots" => &mut policy.rent_settings.idle_boots,
+                "spare_share" => &mut policy.rent_settings.spare_share,
+                "low_waits_boots" => &mut policy.rent_settings.low_waits_boots,
+                "slack_share" => &mut policy.rent_settings.slack_share,
+                "never_boots" => &mut policy.rent_settings.never_boots,
                 _ => return Err(PolicyError::Senseless { field, why: "no such setting".into() }),
             };
             if !value.is_finite() || value < 0.0 {
--- a/src/server.rs
+++ b/src/server.rs
@@ -120,8 +120,17 @@
     let (answers, inbox) = bounded(limits.connections + 64);
     let out = Out { answers, waker, woken: Arc::new(AtomicBool::new(false)) };
     spawn(name, move || {
-        let mut server =
-            Server { poll, listener, limits, conns: Vec::new(), free: Vec::new(), serials: 0, out, tell };
+        let mut server = Server {
+            poll,
+            listener,
+            limits,
+            conns: Vec::new(),
+            free: Vec::new(),
+            serials: 0,
+            refused: 0,
+            out,
+            tell,
+        };
         server.run(&inbox);
     });
     Ok(())
@@ -134,6 +143,8 @@
     conns: Vec<Option<Conn>>,
     free: Vec<usize>,
     serials: u64,
+    /// Connections refused since that was last logged.
+    refused: u64,
     out: Out,
     tell: F,
 }
@@ -176,6 +187,7 @@
                 Ok((mut stream, _)) => {
                     if self.conns.len() - self.free.len() >= self.limits.connections && !self.make_room(now) {
                         // Refused at once: whoever asks tries another node.
+                        self.refused += 1;
                         continue;
                     }
                     let _ = stream.set_nodelay(true);
@@ -237,6 +249,11 @@
     }
 
     fn sweep(&mut self, now: Secs) {
+        if self.refused > 0 {
+            let (refused, limit) = (self.refused, self.limits.connections);
+            tracing::warn!(refused, limit, "connections were refused: all are in use");
+            self.refused = 0;
+        }
         for at in 0..self.conns.len() {
             let Some(c) = &self.conns[at] else { continue };
             let age = now - c.since;
--- a/tests/cold_restart.rs
+++ b/tests/cold_restart.rs
@@ -162,3 +162,25 @@
         before.check(&seen, &when);
     }
 }
+
+/// A record that nobody can read belongs to a job that was accepted: it is neither
+/// unknown nor accepted again, and an operator is told of it.
+#[test]
+fn a_job_whose_record_can_not_be_read_is_not_called_unknown() {
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let options = Options { with: vec!["deploy/cold-restart.toml"], ..Options::default() };
+    let c = Cluster::start_with(1, "scribble", &seen, options);
+    c.until(0, "GET", "/up", None, |s, _| s == 200);
+    c.scribble("fw/j/wk-000033", "scribble".into());
+    let left_alone = || c.ask(0, "/restart")["records_left_alone"][0]["key"] == "fw/j/wk-000033";
+    wait("it is not named", left_alone);
+    for (method, path, body) in [
+        ("GET", "/v2/runs/wk-000033", None),
+        ("POST", "/v2/runs/wk-000033/withdraw", None),
+        ("POST", "/v2/runs", Some(job("wk-000033", "array", 1))),
+    ] {
+        let (status, _, retry) = c.call(0, method, path, body);
+        assert!(status == 503 && retry.is_some(), "{method} {path}: {status}");
+    }
+    assert_eq!(c.call(0, "GET", "/v2/runs/wk-000034", None).0, 404);
+}
--- a/tests/cold_restart_cores.rs
+++ b/tests/cold_restart_cores.rs
@@ -147,6 +147,20 @@
     assert_eq!(calls, []);
 }
 
+#[test]
+fn a_machine_past_its_lease_that_speaks_again_is_asked_before_it_is_believed() {
+    let a = job("wk-1", 1);
+    let m = mirror(1, &[&a]);
+    let (mut l, mut p) = back(&m);
+    p.expire_leases(29.0);
+    // A copy from before the crash, of a session that nobody here has seen.
+    let copy = report(1, 1, 5, token(EPOCH - 1, 3), &[("wk-1/0", BEFORE, RUNNING, None)]);
+    let (_, calls) = answered(p.report(&copy, false, &m, 29.1));
+    assert_eq!((calls, verdicts(&mut p)), (Vec::new(), Vec::new()));
+    assert!(assigned(&mut l, &mut p, &m, 29.2).is_empty(), "in doubt until it answers");
+    assert_eq!(p.directs(&m, 29.3).len(), 1, "it is asked");
+}
+
 /// An empty machine reports, and shows that it heeds what it is told.
 fn shows_again(p: &mut Part, m: &Mirror, machine: usize, now: f64) {
     let t = token(EPOCH, (1 << 10) + 2 * now as u64);
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -207,6 +207,13 @@
         }
     }
 
+    /// Writes a key of the state service past all controllers.
+    pub fn scribble(&self, key: &str, value: Value) {
+        let body = json!({"if": [], "writes": [{"put": key, "value": value}]});
+        let url = format!("http://{}/commit", self.state[0].addr);
+        self.agent.post(&url).send_string(&body.to_string()).expect("committed");
+    }
+
     /// What a controller says to an operator's question; nothing if it doesn't answer.
     pub fn ask(&self, i: usize, path: &str) -> Value {
         let answer = self.agent.get(&format!("http://{}{path}", self.backs[i])).call();
