--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -374,14 +374,14 @@
     """The worker of one machine: sessions, lease, tokens, commands and reports as the
     protocol page has them. Arrays and services only."""
 
-    def __init__(self, world, name, breed, zone, spot, nodes, fetch_s=0.2):
+    def __init__(self, world, name, breed, zone, spot, nodes):
         self.world = world
         self.name = name
         self.breed = breed
         self.zone = zone
         self.spot = spot
         self.nodes = nodes
-        self.fetch_s = fetch_s
+        self.images = {}
         self.lock = threading.RLock()
         self.flight = 1
         self.chirp = 0
@@ -504,7 +504,10 @@
                 elif spec["cpus"] > free[0] + 1e-6 or spec["mem_gb"] > free[1] + 1e-6:
                     task.mood, task.cause = "ended", "no_room"
                 else:
-                    task.ready_at = time.monotonic() + self.fetch_s
+                    fetch_s = spec["size_gb"] / self.breed["pull_gb_per_s"]
+                    task.ready_at = self.images.setdefault(
+                        spec["egg"], time.monotonic() + fetch_s
+                    )
             elif kind == "halt" and key in self.tasks:
                 task = self.tasks[key]
                 if task.mood != "ended":
