--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,9 +12,10 @@
 from harness import TROUBLE, World, main, owner_by_hash  # noqa: E402
 
 SLOW_ANSWER_S = 0.5
-# A controller that returns is heard, and so joins the epoch, about a second after its start.
-UP_AFTER_S = 0.93
-MACHINES = 3
+# A controller that returns joins the epoch about a second after it has stored its member key,
+# as it is heard then. The machines come up around that time.
+UP_AFTER_S = [0.90, 0.95, 1.0, 1.05]
+MACHINES = len(UP_AFTER_S)
 TASKS = 4 * MACHINES
 
 
@@ -75,12 +76,14 @@
     if not all(any(name in page["m"] for page in pages) for name in new):
         return 2, "the machines are not registered"
 
-    joined = threading.Event()
+    returned, joined = threading.Event(), threading.Event()
     state = {"joined": False, "slow": False}
 
     def after(node, method, path, body, status, value):
         if path == "/commit" and status == 200:
             for write in body.get("writes", []):
+                if write.get("put") == f"fw/m/{third}":
+                    returned.set()
                 if write.get("put") == "fw/epoch" and third in write["value"]["members"]:
                     state["joined"] = True
                     joined.set()
@@ -97,9 +100,11 @@
     # The third controller is back, and the machines are up, one shortly after the other, with
     # the first controller as the node that they report to.
     world.start_controller(third)
-    for index, name in enumerate(new):
+    if not returned.wait(15):
+        return 2, "the third controller did not return"
+    for name, delay_s in zip(new, UP_AFTER_S):
         world.machines[name].at = 0
-        world.machines[name].start(UP_AFTER_S + 0.06 * index)
+        world.machines[name].start(delay_s)
     if not joined.wait(15):
         return 2, "the third controller did not join"
     time.sleep(0.3)
