--- a/src/controller/registry.rs
+++ b/src/controller/registry.rs
@@ -160,8 +160,8 @@
     }
 
     /// Records the machines that have sent heartbeats and are on no page, to be written to
-    /// the registry. Returns the machines that have sent heartbeats and are on a page, but are
-    /// not marked as in use there.
+    /// the registry. Returns the machines that have sent heartbeats and are on a page that does
+    /// not mark them as in use.
     fn add_unregistered_machines(&mut self) -> Vec<StartedMachine> {
         let mut started = Vec::new();
         let mut found = Vec::new();
@@ -170,7 +170,7 @@
                 continue;
             }
             match self.cache.registry.get(&machine.id) {
-                Some(registered) if registered.record.in_use => {}
+                Some(registered) if registered.unmarked_page_keys.is_empty() => {}
                 Some(_) => started.push(StartedMachine {
                     id: machine.id.clone(),
                     address: machine.address.clone().unwrap_or_else(|| "".into()),
@@ -183,27 +183,24 @@
         started
     }
 
-    /// Adds the addresses of machines that have sent their first heartbeat to their pages,
-    /// which marks the machines as in use.
+    /// Adds the addresses of machines that have sent heartbeats to all pages that list them,
+    /// which marks the machines as in use. Versions that read only one of the pages then come to
+    /// the same result.
     fn mark_started(&self, started: Vec<StartedMachine>, pages: &mut Pages) {
         for machine in started {
             let Some(registered) = self.cache.registry.get(&machine.id) else {
                 continue;
             };
-            let key = &registered.page_key;
-            let stored = self.cache.registry_pages.get(key);
-            let Some(page) = pages
-                .get(key)
-                .cloned()
-                .or_else(|| stored.map(|stored| stored.value.clone()))
-            else {
-                continue;
-            };
-            pages
-                .entry(key.clone())
-                .or_insert(page)
-                .machines
-                .insert(machine.id, Some(machine.address));
+            for key in &registered.unmarked_page_keys {
+                let Some(stored) = self.cache.registry_pages.get(key) else {
+                    continue;
+                };
+                pages
+                    .entry(key.clone())
+                    .or_insert_with(|| stored.value.clone())
+                    .machines
+                    .insert(machine.id.clone(), Some(machine.address.clone()));
+            }
         }
     }
 
--- a/src/shard/registration.rs
+++ b/src/shard/registration.rs
@@ -15,6 +15,7 @@
             return;
         }
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
+            tracing::debug!(machine = %id, in_use = record.in_use, "registered machine added");
             let identity = MachineIdentity {
                 machine_type: record.machine_type.clone(),
                 zone: record.zone.clone(),
--- a/src/store/cache.rs
+++ b/src/store/cache.rs
@@ -53,13 +53,24 @@
     }
 }
 
-/// A machine in the registry, and the page that its record was read from.
+/// A machine in the registry. Late writes can leave it on several pages, which may disagree on
+/// whether it is in use. The entry depends only on the present contents of the pages, not on the
+/// order in which they were read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RegisteredMachine {
-    /// The machine's record.
+    /// The machine's record. It is in use if any page marks it as in use.
     pub record: MachineRecord,
-    /// The key of the registry page.
-    pub page_key: Arc<str>,
+    /// The keys of all pages that list the machine, in ascending order.
+    pub page_keys: Vec<Arc<str>>,
+    /// The keys of those pages that do not mark it as in use, in ascending order.
+    pub unmarked_page_keys: Vec<Arc<str>>,
+}
+
+impl RegisteredMachine {
+    /// Whether some pages mark it as in use and others do not.
+    fn is_disputed(&self) -> bool {
+        self.record.in_use && !self.unmarked_page_keys.is_empty()
+    }
 }
 
 /// The part of the cache that may have changed when a change of a key was applied.
@@ -362,20 +373,14 @@
         if cached_revision.is_some_and(|cached| revision <= cached) {
             return CacheChange::Nothing;
         }
-        let mut changed = self.register_machines(&key, &page);
-        let removed = self
+        let mut listed: Vec<MachineId> = page.machines.keys().cloned().collect();
+        let replaced = self
             .registry_pages
-            .get(&key)
-            .map(|cached| cached.value.machines.keys())
-            .into_iter()
-            .flatten()
-            .filter(|id| !page.machines.contains_key(*id))
-            .cloned()
-            .collect();
-        self.registry_pages
             .insert(key.clone(), Versioned::new(page, revision));
-        changed.extend(self.unregister_machines(&key, removed));
-        CacheChange::Machines(changed)
+        if let Some(replaced) = replaced {
+            listed.extend(replaced.value.machines.into_keys());
+        }
+        CacheChange::Machines(self.update_registered(&key, listed))
     }
 
     /// Returns the revision of a cached page, or the one at which the page was deleted; `None` if
@@ -387,49 +392,36 @@
             .or(self.deleted_pages.get(key).copied())
     }
 
-    /// Registers the machines of a page, except those that another page has registered
-    /// before. Returns the machines that were added or changed.
-    fn register_machines(&mut self, key: &Arc<str>, page: &RegistryPage) -> Vec<MachineId> {
+    /// Updates the registry entries of machines that a changed page lists now or listed before
+    /// the change. Returns the machines whose entries have changed.
+    fn update_registered(&mut self, page_key: &Arc<str>, ids: Vec<MachineId>) -> Vec<MachineId> {
         let mut changed = Vec::new();
-        for (id, address) in &page.machines {
-            let record = page.machine_record(address.as_ref());
-            match self.registry.get(id) {
-                Some(registered) if registered.page_key != *key => {}
-                Some(registered) if registered.record == record => {}
-                _ => {
-                    let machine = RegisteredMachine {
-                        record,
-                        page_key: key.clone(),
-                    };
-                    self.registry.insert(id.clone(), machine);
-                    changed.push(id.clone());
-                }
+        for id in ids {
+            let registered = self.registry.get(&id);
+            let mut page_keys =
+                registered.map_or_else(Vec::new, |machine| machine.page_keys.clone());
+            if let Err(position) = page_keys.binary_search(page_key) {
+                page_keys.insert(position, page_key.clone());
             }
-        }
-        changed
-    }
-
-    /// Removes machines from the registry that are no longer on a page, or registers them
-    /// from another page that has them. Returns `ids`.
-    fn unregister_machines(&mut self, page_key: &str, ids: Vec<MachineId>) -> Vec<MachineId> {
-        for id in &ids {
-            let on_this_page = |machine: &RegisteredMachine| &*machine.page_key == page_key;
-            if !self.registry.get(id).is_some_and(on_this_page) {
+            let updated = merge_pages(&self.registry_pages, &id, page_keys);
+            if updated.as_ref() == registered {
                 continue;
             }
-            self.registry.remove(id);
-            let other = self.registry_pages.iter().find_map(|(key, page)| {
-                let address = page.value.machines.get(id)?;
-                Some(RegisteredMachine {
-                    record: page.value.machine_record(address.as_ref()),
-                    page_key: key.clone(),
-                })
-            });
-            if let Some(machine) = other {
-                self.registry.insert(id.clone(), machine);
+            if let Some(machine) = updated.as_ref().filter(|machine| machine.is_disputed()) {
+                tracing::warn!(
+                    machine = %id,
+                    pages = ?machine.page_keys,
+                    unmarked = ?machine.unmarked_page_keys,
+                    "registry pages disagree on whether a machine is in use"
+                );
             }
+            match updated {
+                Some(machine) => self.registry.insert(id.clone(), machine),
+                None => self.registry.remove(&id),
+            };
+            changed.push(id);
         }
-        ids
+        changed
     }
 
     fn delete(&mut self, key: &str, revision: u64) -> CacheChange {
@@ -456,10 +448,61 @@
             return CacheChange::Nothing;
         }
         let deleted = self.registry_pages.remove(key);
-        self.deleted_pages.insert(key.into(), revision);
+        let key: Arc<str> = key.into();
+        self.deleted_pages.insert(key.clone(), revision);
         let ids = deleted
             .map(|page| page.value.machines.into_keys().collect())
             .unwrap_or_default();
-        CacheChange::Machines(self.unregister_machines(key, ids))
+        CacheChange::Machines(self.update_registered(&key, ids))
     }
 }
+
+/// Returns the registry entry of a machine by all pages of `page_keys` that list it; `None` if
+/// none does. The record is that of the first page that marks the machine as in use, else that
+/// of the first page.
+fn merge_pages(
+    pages: &BTreeMap<Arc<str>, Versioned<RegistryPage>>,
+    id: &MachineId,
+    mut page_keys: Vec<Arc<str>>,
+) -> Option<RegisteredMachine> {
+    let mut merged: Option<MachineRecord> = None;
+    let mut unmarked_page_keys = Vec::new();
+    page_keys.retain(|key| {
+        let Some(page) = pages.get(key) else {
+            return false;
+        };
+        let Some(address) = page.value.machines.get(id) else {
+            return false;
+        };
+        let record = page.value.machine_record(address.as_ref());
+        if !record.in_use {
+            unmarked_page_keys.push(key.clone());
+        }
+        merged = Some(match merged.take() {
+            // Guard: a page that a late write has created does not mark a machine that was put
+            // to use meanwhile. If it counted, a restarted owner would start the machine's
+            // tasks again elsewhere.
+            Some(earlier) => join_records(earlier, record),
+            None => record,
+        });
+        true
+    });
+    merged.map(|record| RegisteredMachine {
+        record,
+        page_keys,
+        unmarked_page_keys,
+    })
+}
+
+/// Joins the records of a machine on two pages, `earlier` being that of the page whose key is
+/// lower.
+fn join_records(earlier: MachineRecord, later: MachineRecord) -> MachineRecord {
+    let later_address = later.address.clone();
+    let mut joined = if later.in_use && !earlier.in_use {
+        later
+    } else {
+        earlier
+    };
+    joined.address = joined.address.or(later_address);
+    joined
+}
--- a/tests/control_plane/cold_restart.rs
+++ b/tests/control_plane/cold_restart.rs
@@ -8,6 +8,7 @@
 use finchwood::shard::{HeartbeatReply, Shard};
 use finchwood::store::cache::StoreCache;
 use finchwood::store::records::Epoch;
+use finchwood::store::KeyValue;
 use finchwood::wire::{Command, JobSpec, TaskState};
 use finchwood_reconciliation::verdict::{
     AdoptReason, ConflictReason, StopReason, UnreconciledReason, Verdict,
@@ -632,3 +633,50 @@
         "a valid record should replace the invalid one"
     );
 }
+
+/// Guards against tasks that a restarted owner gives up, since it believes a registry page
+/// without the mark of use rather than the page that has it (review, case 1).
+#[test]
+fn a_restarted_owner_probes_a_machine_that_any_page_marks_as_in_use() {
+    let batch = job("wk-1", 2);
+    let mut cache = store_cache(1, &[&batch]);
+    let page = |address: Option<&str>| json!({"b": "k", "z": "e", "s": false, "t": 0, "m": {"m-1": address}});
+    // The machine's record is on the page `fw/r/m-1`, which is read after this one.
+    let entries = [
+        ("fw/r/found-2-1.0", page(None), 17),
+        ("fw/r/m-1", page(Some("10.0.0.1:1")), 11),
+    ];
+    let entries = entries.into_iter().map(|(key, value, revision)| KeyValue {
+        key: key.into(),
+        value,
+        revision,
+    });
+    let jobs = [("fw/j/wk-1", job_record(&batch, false))];
+    let jobs = jobs.into_iter().map(|(key, value)| KeyValue {
+        key: key.into(),
+        value,
+        revision: 5,
+    });
+    let catalog = json!(cache.catalog.as_deref());
+    cache.load(entries.chain(jobs).collect());
+    cache.put("fw/c", catalog, 30);
+    let (mut leader, mut shard) = restarted_leader_and_shard(&cache);
+    assert_eq!(
+        newly_assigned_tasks(&mut leader, &mut shard, &cache, 0.0),
+        [],
+        "the tasks may run on the machine"
+    );
+    let probed = shard.due_commands(&cache, 0.1);
+    assert_eq!(probed.len(), 1, "the machine should be probed at once");
+    let running = [
+        ("wk-1/0", OLD_ATTEMPT, RUNNING, None),
+        ("wk-1/1", OLD_ATTEMPT, RUNNING, None),
+    ];
+    report_until_reconciled(&mut shard, &cache, 1, &running, 0.2);
+    assert_eq!(
+        newly_assigned_tasks(&mut leader, &mut shard, &cache, 0.5),
+        [],
+        "the tasks were found"
+    );
+    assert!(leader.is_reconciled());
+}
