--- a/crates/reconciliation/src/machine_state.rs
+++ b/crates/reconciliation/src/machine_state.rs
@@ -7,15 +7,20 @@
 //! earlier owner, so that none of them can start another task. If the worker stays silent, the
 //! expiry of its lease proves that no task is left, since only the owner could have renewed
 //! that lease.
+//!
+//! Nothing else proves that a machine is empty. In particular the mark of use in the machine
+//! registry does not, which may be missing or late: it decides only whether others wait for a
+//! machine that no owner has heard.
 
 use serde::{Deserialize, Serialize};
 
 /// What is known of the tasks on a machine. A machine is unreconciled while its tasks are not
-/// known.
+/// known, and gets no tasks as long as it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MachineState {
-    /// According to the machine registry, no task was ever started there: it has none.
+    /// The machine registry does not mark it as in use, and it has not reported to its owner
+    /// yet, as while it boots. Unreconciled, but nobody has to wait for it.
     Unused,
     /// It is in use, and has not reported to its owner yet: unreconciled.
     #[serde(rename = "unheard")]
@@ -39,8 +44,6 @@
     Heartbeat {
         /// Whether it is the machine's first report since its owner came to own it.
         first_contact: bool,
-        /// Whether tasks may have been started there, according to the machine registry.
-        used: bool,
         /// Whether the worker has seen the owner's token, or a higher one.
         owner_token_seen: bool,
     },
@@ -60,9 +63,9 @@
 
 impl MachineState {
     /// Returns the initial state of a machine that was added to the machine registry or taken
-    /// over. `used` is whether tasks may have been started there.
-    pub fn initial(used: bool) -> MachineState {
-        if used {
+    /// over. `in_use` is whether the machine registry marks it as in use.
+    pub fn initial(in_use: bool) -> MachineState {
+        if in_use {
             MachineState::NoHeartbeat
         } else {
             MachineState::Unused
@@ -72,8 +75,24 @@
     /// Whether the tasks on the machine are known.
     pub fn is_reconciled(self) -> bool {
         match self {
-            MachineState::Unused | MachineState::Confirmed | MachineState::LeaseExpired => true,
-            MachineState::NoHeartbeat | MachineState::Unconfirmed => false,
+            // Guard: an earlier owner may have started tasks on a machine that the registry does
+            // not mark as in use, if the mark is late or on another page.
+            MachineState::Unused | MachineState::NoHeartbeat | MachineState::Unconfirmed => false,
+            MachineState::Confirmed | MachineState::LeaseExpired => true,
+        }
+    }
+
+    /// Whether tasks that are not known may be on the machine, so that others have to wait for
+    /// its reconciliation.
+    pub fn may_hold_unknown_tasks(self) -> bool {
+        !self.is_reconciled() && self != MachineState::Unused
+    }
+
+    /// Returns the state that follows when the machine registry marks the machine as in use.
+    pub fn after_mark(self) -> MachineState {
+        match self {
+            MachineState::Unused => MachineState::NoHeartbeat,
+            state => state,
         }
     }
 
@@ -86,18 +105,12 @@
             },
             MachineEvent::Heartbeat {
                 first_contact,
-                used,
                 owner_token_seen,
-            } => self.after_heartbeat(first_contact, used, owner_token_seen),
+            } => self.after_heartbeat(first_contact, owner_token_seen),
         }
     }
 
-    fn after_heartbeat(
-        self,
-        first_contact: bool,
-        used: bool,
-        owner_token_seen: bool,
-    ) -> Transition {
+    fn after_heartbeat(self, first_contact: bool, owner_token_seen: bool) -> Transition {
         if owner_token_seen {
             return Transition {
                 state: MachineState::Confirmed,
@@ -107,8 +120,7 @@
         // Guard: a machine that counted as empty, for instance because its lease was thought
         // to have expired, has reported after all. What it reports may be old until its worker
         // has seen the token.
-        let unexpected = first_contact && used;
-        if self.is_reconciled() && !unexpected {
+        if self.is_reconciled() && !first_contact {
             return Transition {
                 state: self,
                 probe: false,
--- a/crates/reconciliation/tests/model.rs
+++ b/crates/reconciliation/tests/model.rs
@@ -41,7 +41,9 @@
 #[derive(Debug, Clone)]
 struct ModelMachine {
     zone: &'static str,
-    used: bool,
+    /// Whether the new owner knows the mark of use. Without it, the machine may hold tasks all
+    /// the same, as the mark may be late.
+    marked: bool,
     token: u64,
     tasks: BTreeMap<TaskId, WorkerTask>,
     /// Commands of the earlier owner to start tasks that may still arrive.
@@ -128,7 +130,6 @@
         let owner_token = token(EPOCH, 0);
         let event = MachineEvent::Heartbeat {
             first_contact: !self.owner.reported_under_token[id],
-            used: self.machines[id].used,
             owner_token_seen: seen_token >= owner_token,
         };
         self.owner.reported_under_token[id] |= seen_token >= owner_token;
@@ -308,7 +309,7 @@
     let mut model_machines: Vec<ModelMachine> = (0..machines)
         .map(|i| ModelMachine {
             zone: ZONES[i % 2],
-            used: i % 5 != 4,
+            marked: i % 3 != 2,
             token: OLD_TOKEN,
             tasks: BTreeMap::new(),
             starts_in_flight: Vec::new(),
@@ -319,9 +320,7 @@
         let zone = (zone < 2).then(|| ZONES[zone]);
         model_tasks.push(ModelTask { stored, zone });
         let id = at % machines;
-        // Nothing was ever started on a machine that is unused according to the machine
-        // registry.
-        if !model_machines[id].used || zone.is_some_and(|z| z != model_machines[id].zone) {
+        if zone.is_some_and(|z| z != model_machines[id].zone) {
             continue;
         }
         match place {
@@ -339,7 +338,7 @@
     let owner = Owner {
         states: model_machines
             .iter()
-            .map(|m| MachineState::initial(m.used))
+            .map(|m| MachineState::initial(m.marked))
             .collect(),
         reported_under_token: vec![false; machines],
         assigned: BTreeMap::new(),
--- a/src/controller/registry.rs
+++ b/src/controller/registry.rs
@@ -44,7 +44,7 @@
     record: MachineRecord,
 }
 
-/// A registered machine that has sent its first heartbeat.
+/// A registered machine that is to be marked as in use.
 struct StartedMachine {
     id: MachineId,
     address: Arc<str>,
@@ -141,8 +141,8 @@
         self.add_found_machines(vec![FoundMachine { id, record }]);
     }
 
-    /// Updates the registry: adds rented and found machines, marks machines that have sent
-    /// their first heartbeat, and removes machines that no longer exist.
+    /// Updates the registry: adds rented and found machines, marks machines that their owners
+    /// have reconciled, and removes machines that no longer exist.
     pub(super) fn update_registry(&mut self, now: Seconds) {
         self.registry
             .completed_at
@@ -160,8 +160,9 @@
     }
 
     /// Records the machines that have sent heartbeats and are on no page, to be written to
-    /// the registry. Returns the machines that have sent heartbeats and are on a page that does
-    /// not mark them as in use.
+    /// the registry. Returns the machines that are to be marked: they are on a page that does not
+    /// mark them as in use, and their owner has reconciled them, so that no owner of an earlier
+    /// epoch can start a task there on the strength of the mark.
     fn add_unregistered_machines(&mut self) -> Vec<StartedMachine> {
         let mut started = Vec::new();
         let mut found = Vec::new();
@@ -171,6 +172,7 @@
             }
             match self.cache.registry.get(&machine.id) {
                 Some(registered) if registered.unmarked_page_keys.is_empty() => {}
+                Some(_) if !machine.reconciled => {}
                 Some(_) => started.push(StartedMachine {
                     id: machine.id.clone(),
                     address: machine.address.clone().unwrap_or_else(|| "".into()),
@@ -287,7 +289,7 @@
     }
 
     /// Writes a page, or deletes it if it is empty, on the condition that its stored
-    /// revision is unchanged and that `extra_conditions` hold. Returns false if the queue
+    /// revision and the epoch are unchanged and that `extra_conditions` hold. Returns false if the queue
     /// of writes is full.
     fn write_page(
         &mut self,
@@ -309,7 +311,8 @@
             },
         };
         let write_id = self.registry.writing.next_id();
-        let mut conditions = vec![Condition::new(&*key, revision)];
+        let mut conditions =
+            registry_pages::write_conditions(&key, revision, self.cache.epoch_revision);
         conditions.extend(extra_conditions.iter().cloned());
         let write = ConditionalWrite {
             conditions,
--- a/src/scheduler/reconcile.rs
+++ b/src/scheduler/reconcile.rs
@@ -7,8 +7,8 @@
 use finchwood_reconciliation::unreconciled::{MachineClass, UnreconciledMachines};
 
 impl Leader {
-    /// The machines of the machine registry that are not reconciled in this epoch: no owner
-    /// has established yet what they run. Machines for which `is_terminated` returns true
+    /// The machines that the machine registry marks as in use and that are not reconciled in
+    /// this epoch: no owner has established yet what they run. Machines for which `is_terminated` returns true
     /// are left out.
     pub(super) fn unreconciled_registered_machines<'a>(
         &'a self,
@@ -32,8 +32,10 @@
             })
     }
 
-    /// The unreconciled machines: those of the machine registry, and those that report
-    /// although the registry lacks them.
+    /// The unreconciled machines: those that the machine registry marks as in use, and those that
+    /// report although it does not. A machine without the mark that no owner has heard holds no
+    /// tasks: a start follows the mark, and a mark of an earlier epoch was committed before this
+    /// epoch and is known here.
     pub fn unreconciled_machines(
         &self,
         cache: &StoreCache,
@@ -47,18 +49,22 @@
             zone: machine.record.zone.clone(),
             spot: machine.record.spot,
         });
-        let unregistered = self.machines().filter(|machine| {
+        let is_marked = |id: &MachineId| {
+            let registered = cache.registry.get(id);
+            registered.is_some_and(|machine| machine.record.in_use)
+        };
+        let unmarked = self.machines().filter(|machine| {
             machine.has_reported
                 && !machine.reconciled
-                && !cache.registry.contains_key(&machine.id)
+                && !is_marked(&machine.id)
                 && !is_terminated(&machine.id)
         });
-        let unregistered = unregistered.map(|machine| MachineClass {
+        let unmarked = unmarked.map(|machine| MachineClass {
             machine_type: machine.machine_type.clone(),
             zone: machine.zone.clone(),
             spot: machine.spot,
         });
-        registered.chain(unregistered).collect()
+        registered.chain(unmarked).collect()
     }
 
     /// Whether machines that are missing from the readable pages of the machine registry
--- a/src/shard/commands.rs
+++ b/src/shard/commands.rs
@@ -254,8 +254,8 @@
     }
 
     /// Returns the machines to send a direct command to: a start or a stop is unsent, a
-    /// probe is due, the machine is in use but its worker has never reported here, or its
-    /// heartbeat is late.
+    /// probe is due, its worker has an address but has never reported here, or its heartbeat is
+    /// late.
     fn machines_due_commands(&self, now: Seconds) -> BTreeSet<MachineId> {
         let placements = self
             .assigned
@@ -272,7 +272,8 @@
         let is_due = |machine: &Machine| {
             let never_reported = !machine.is_reconciled() && machine.session.id == 0;
             let is_late = || machine.silent_for(self.epoch_started_at, now) > late;
-            machine.commands.probe_due || machine.used && (never_reported || is_late())
+            let has_address = machine.identity.address.is_some();
+            machine.commands.probe_due || has_address && (never_reported || is_late())
         };
         let to_probe = self.machines.iter().filter(|(_, machine)| is_due(machine));
         due.extend(to_probe.map(|(id, _)| id.clone()));
--- a/src/shard/heartbeats.rs
+++ b/src/shard/heartbeats.rs
@@ -85,7 +85,7 @@
         });
         if let Some(registered) = cache.registry.get(&heartbeat.machine) {
             machine.registered = true;
-            machine.used |= registered.record.in_use;
+            machine.record_mark(registered.record.in_use);
         }
         machine
     }
@@ -127,7 +127,6 @@
         let was_reconciled = machine.is_reconciled();
         let event = MachineEvent::Heartbeat {
             first_contact: machine.session.last_heartbeat_at.is_none(),
-            used: machine.used,
             owner_token_seen: heartbeat.token >= token(self.epoch, machine.token.counter),
         };
         if machine.proves_alive(heartbeat, self.epoch) {
--- a/src/shard/leases.rs
+++ b/src/shard/leases.rs
@@ -40,7 +40,9 @@
                 !machine.commands.in_flight && now - renewed_at > limit
             })
             .filter(|(id, _)| !self.transfers.is_fenced(id))
-            .filter(|(_, machine)| !machine.is_reconciled() || !machine.session.has_ended())
+            .filter(|(_, machine)| {
+                machine.state.may_hold_unknown_tasks() || !machine.session.has_ended()
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -37,7 +37,8 @@
     pub(super) identity: MachineIdentity,
     /// Whether it is in the machine registry.
     pub(super) registered: bool,
-    /// Whether tasks may have been started there, according to the machine registry.
+    /// Whether the machine registry marks it as in use, without which no task may be started
+    /// there. The absence of the mark does not show that it is empty.
     pub(super) used: bool,
     /// Whether the tasks on it are confirmed, and by which evidence.
     pub(super) state: MachineState,
@@ -250,6 +251,14 @@
         }
     }
 
+    /// Records whether the machine registry marks it as in use. A mark stays.
+    pub(super) fn record_mark(&mut self, in_use: bool) {
+        if in_use {
+            self.used = true;
+            self.state = self.state.after_mark();
+        }
+    }
+
     /// Whether the tasks on it are confirmed.
     pub(super) fn is_reconciled(&self) -> bool {
         self.state.is_reconciled()
@@ -430,12 +439,13 @@
 
     /// Whether a heartbeat proves that its worker is alive. A late copy of an old heartbeat
     /// may arrive long after its machine was deleted, at a controller that never saw the
-    /// original. A worker is certainly alive if it has seen a token of this epoch, or if
-    /// its machine was never used, as it then sent no earlier heartbeat. Any other worker is
-    /// probed, and its response is the proof.
+    /// original. A worker is certainly alive if it has seen a token of this epoch. It counts as
+    /// alive if its machine is not marked as in use, as it then hardly sent an earlier heartbeat;
+    /// a machine that is wrongly taken for alive gets no task before its worker has acknowledged a
+    /// token. Any other worker is probed, and its response is the proof.
     pub(super) fn proves_alive(&self, heartbeat: &Heartbeat, epoch: u64) -> bool {
-        let never_used = self.registered && !self.used;
-        never_used || token_epoch(heartbeat.token) == epoch
+        let is_new = self.registered && !self.used;
+        is_new || token_epoch(heartbeat.token) == epoch
     }
 
     /// Raises the token by one if it is not above `floor`.
--- a/src/shard/messages.rs
+++ b/src/shard/messages.rs
@@ -92,7 +92,8 @@
     pub zone: Arc<str>,
     /// Whether the cloud may reclaim it at short notice.
     pub spot: bool,
-    /// Whether it is reconciled: the tasks on it are confirmed.
+    /// Whether it is reconciled: the tasks on it are confirmed. Versions that took a machine
+    /// without the mark of use for empty report it as reconciled.
     #[serde(rename = "certain")]
     pub reconciled: bool,
     /// Whether its worker has proved to this owner that it is alive.
--- a/src/shard/reconciliation.rs
+++ b/src/shard/reconciliation.rs
@@ -9,7 +9,7 @@
 use crate::wire::{cause, MachineId, Task, TaskState};
 use finchwood_reconciliation::hold_off::{Action, HoldReason};
 use finchwood_reconciliation::restart_record::{DecisionEntry, RecordView};
-use finchwood_reconciliation::stored_jobs::StoredJobs;
+use finchwood_reconciliation::stored_jobs::{StoredJobs, StoredTask};
 use finchwood_reconciliation::verdict::{
     attempt_epoch_has_begun, decide, AdoptReason, KnownAssignment, Verdict,
 };
@@ -85,6 +85,11 @@
             let adopted = Placement::adopted(id, session, seen_token, now);
             self.apply_verdict(verdict, task, attempt, adopted, now);
             self.apply_observed_state(verdict, task, observed, now);
+            // Guard: the cancellation may have been read while the machine was fenced by a
+            // transfer that was then aborted.
+            if cache.stored_task(task) == StoredTask::JobCancelled {
+                self.stop_task(task, attempt, TaskStopReason::Cancelled);
+            }
         }
         self.reconcile_absent(id, &observed_tasks, seen_token);
         if let Some(machine) = self.machines.get_mut(id) {
@@ -279,7 +284,7 @@
         let unreconciled = self
             .machines
             .values()
-            .filter(|machine| !machine.is_reconciled())
+            .filter(|machine| machine.state.may_hold_unknown_tasks())
             .count();
         self.restart_record.record_unreconciled(unreconciled, now);
         self.restart_record
--- a/src/shard/registration.rs
+++ b/src/shard/registration.rs
@@ -23,13 +23,12 @@
                 address: None,
             };
             Machine {
-                // A machine that the registry does not record as in use was never used.
                 state: MachineState::initial(record.in_use),
                 ..Machine::new(identity, now)
             }
         });
         machine.registered = true;
-        machine.used |= record.in_use;
+        machine.record_mark(record.in_use);
         if machine.identity.address.is_none() {
             machine.identity.address.clone_from(&record.address);
         }
--- a/src/store/group_commit.rs
+++ b/src/store/group_commit.rs
@@ -185,10 +185,12 @@
         self.budget.wait_call();
         let op_count = writes.iter().map(|write| write.ops.len()).sum();
         self.budget.wait_writes(self.class, op_count);
-        let conditions: Vec<Condition> = writes
-            .iter()
-            .flat_map(|write| write.conditions.clone())
-            .collect();
+        let mut conditions: Vec<Condition> = Vec::new();
+        for condition in writes.iter().flat_map(|write| &write.conditions) {
+            if !conditions.contains(condition) {
+                conditions.push(condition.clone());
+            }
+        }
         let ops: Vec<WriteOp> = writes.iter().flat_map(|write| write.ops.clone()).collect();
         self.store.commit(&conditions, &ops)
     }
@@ -275,20 +277,37 @@
     }
 
     /// Whether a write whose operations have `bytes` bytes fits into the transaction. Writes
-    /// that have a condition in common are committed in different transactions.
+    /// are committed in different transactions if one of them changes a key that the other
+    /// changes or has a condition on, or if their conditions exclude each other. A condition on
+    /// a key that neither changes may be common to both, as that on the epoch is.
     fn can_include(&self, write: &ConditionalWrite<T>, bytes: usize) -> bool {
-        let shares_condition = self
-            .writes
-            .iter()
-            .flat_map(|other| &other.conditions)
-            .any(|condition| write.conditions.contains(condition));
-        !shares_condition
+        let interferes = self.writes.iter().any(|other| interfere(other, write));
+        !interferes
             && self.op_count + write.ops.len() <= self.max_ops
             && self.condition_count + write.conditions.len() <= self.max_ops * MAX_CONDITIONS_PER_OP
             && self.bytes + bytes <= MAX_TRANSACTION_BYTES
     }
 }
 
+fn interfere<T>(one: &ConditionalWrite<T>, other: &ConditionalWrite<T>) -> bool {
+    let excludes = |condition: &Condition| {
+        other
+            .conditions
+            .iter()
+            .any(|other| other.key == condition.key && other.revision != condition.revision)
+    };
+    changes_key_of(one, other) || changes_key_of(other, one) || one.conditions.iter().any(excludes)
+}
+
+/// Whether `write` changes a key that `other` changes or has a condition on.
+fn changes_key_of<T>(write: &ConditionalWrite<T>, other: &ConditionalWrite<T>) -> bool {
+    let conditions = other.conditions.iter().map(|condition| &*condition.key);
+    let keys: Vec<&str> = conditions
+        .chain(other.ops.iter().map(WriteOp::key))
+        .collect();
+    write.ops.iter().any(|op| keys.contains(&op.key()))
+}
+
 /// Returns the size of operations as they are sent, in bytes.
 fn encoded_len(ops: &[WriteOp]) -> usize {
     serde_json::to_vec(ops).map_or(0, |bytes| bytes.len())
--- a/src/store/registry_pages.rs
+++ b/src/store/registry_pages.rs
@@ -1,6 +1,7 @@
 //! The pages of the machine registry: how many machines a page can hold, how oversized pages
 //! are split, and in which order pages are written. This module does no input or output.
 
+use super::keys::EPOCH_KEY;
 use super::records::{RegistryPage, Versioned};
 use super::Condition;
 use crate::clock::Timestamp;
@@ -59,6 +60,18 @@
     }
 }
 
+/// Returns the conditions under which a leader writes a page: the page is at `page_revision`, 0 if
+/// it does not exist, and the epoch is the one that it leads.
+pub fn write_conditions(key: &str, page_revision: u64, epoch_revision: u64) -> Vec<Condition> {
+    vec![
+        Condition::new(key, page_revision),
+        // Guard: a leader that has been deposed, or a write of it that is carried out late,
+        // would mark a machine after its next owner and the next leader have looked for the mark,
+        // or create a second page of a machine.
+        Condition::new(EPOCH_KEY, epoch_revision),
+    ]
+}
+
 /// Replaces oversized pages in `to_write`. A stored page is oversized if its version in
 /// `to_write`, or else its stored version, is larger than the store accepts. The pages that
 /// replace it are written first. Once all of them are stored, the oversized page is deleted,
--- a/src/store/transaction.rs
+++ b/src/store/transaction.rs
@@ -48,6 +48,15 @@
     },
 }
 
+impl WriteOp {
+    /// Returns the key that the operation changes.
+    pub fn key(&self) -> &str {
+        match self {
+            WriteOp::Put { key, .. } | WriteOp::Delete { key } => key,
+        }
+    }
+}
+
 /// The outcome of a transaction.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CommitOutcome {
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -13,10 +13,10 @@
 use finchwood::shard::{DirectCommand, Orders, Shard, ShardReport, Timing};
 use finchwood::store::cache::{CacheChange, StoreCache};
 use finchwood::store::records::Epoch;
-use finchwood::store::KeyChange;
+use finchwood::store::{KeyChange, KeyValue};
 use finchwood_sharding::transfer::Transfers;
 use rand::Rng;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The interval between heartbeats that the shards assume.
@@ -38,12 +38,17 @@
     pub(super) partitioned_until: f64,
     /// The time before which the key-value store responds to the others but not to it.
     pub(super) refused_until: f64,
+    /// The time before which the answer to its reading of the key-value store is under way. Its
+    /// writes are answered meanwhile.
+    pub(super) reading_delayed_until: f64,
     pub(super) cache: StoreCache,
     /// The number of changes that it has read from the store's log.
     changes_read: usize,
     pub(super) shard: Shard,
     pub(super) leader: Leader,
     pub(super) transfers: Transfers,
+    /// Until when it waits for the outcome of its last write of each registry page.
+    pub(super) page_writes: HashMap<Arc<str>, f64>,
     /// When a write of the shard map was refused, until a later read of the store shows the
     /// reason; `None` otherwise.
     pub(super) shard_map_refused_at: Option<f64>,
@@ -74,11 +79,13 @@
             last_synced_at: 0.0,
             partitioned_until: 0.0,
             refused_until: 0.0,
+            reading_delayed_until: 0.0,
             cache: StoreCache::new(MAX_VALUE_KB),
             changes_read: 0,
             shard: Shard::new(CONTROLLERS[index], timing, HashMap::new()),
             leader: Leader::new(&settings()),
             transfers: Transfers::default(),
+            page_writes: HashMap::new(),
             shard_map_refused_at: None,
         }
     }
@@ -114,6 +121,9 @@
     /// Reads and applies the changes in the log of the key-value store since the last read.
     fn read_store(&mut self, log: &[KeyChange], now: f64) {
         self.last_synced_at = now;
+        if self.changes_read == 0 {
+            return self.read_snapshot(log, now);
+        }
         while self.changes_read < log.len() {
             let change = log[self.changes_read].clone();
             self.changes_read += 1;
@@ -131,6 +141,43 @@
         }
     }
 
+    /// Reads all keys in their order, as a process does when it starts.
+    fn read_snapshot(&mut self, log: &[KeyChange], now: f64) {
+        self.changes_read = log.len();
+        let mut state: BTreeMap<&str, KeyValue> = BTreeMap::new();
+        for change in log {
+            match change {
+                KeyChange::Put {
+                    key,
+                    value,
+                    revision,
+                } => {
+                    let entry = KeyValue {
+                        key: key.clone(),
+                        value: value.clone(),
+                        revision: *revision,
+                    };
+                    state.insert(key, entry);
+                }
+                KeyChange::Delete { key, .. } => {
+                    state.remove(key.as_str());
+                }
+            }
+        }
+        self.cache.load(state.into_values().collect());
+        if self.cache.epoch.is_some() {
+            self.epoch_changed(now);
+        }
+        let jobs: Vec<Arc<str>> = self.cache.jobs.keys().cloned().collect();
+        for job in jobs {
+            self.job_changed(&job);
+        }
+        let machines: Vec<Arc<str>> = self.cache.registry.keys().cloned().collect();
+        for machine in machines {
+            self.registry_changed(&machine, now);
+        }
+    }
+
     /// Enters the epoch that was just read, if this controller is a member of it.
     fn epoch_changed(&mut self, now: f64) {
         let name = self.name;
@@ -154,7 +201,7 @@
 
     /// Registers a changed machine with the shard if this controller owns it, or unregisters
     /// it if it is no longer in the machine registry.
-    fn registry_changed(&mut self, id: &Arc<str>, now: f64) {
+    pub(super) fn registry_changed(&mut self, id: &Arc<str>, now: f64) {
         let Some(machine) = self.cache.registry.get(id) else {
             self.shard.unregister_machine(id);
             return;
@@ -259,7 +306,12 @@
         let now = self.now;
         let reaches_store = self.store_responds_to(index) && self.reaches_peers(index);
         // The cache may lag behind the store. A controller with a stale cache does not act.
-        if self.controllers[index].alive && reaches_store && self.rng.gen_bool(0.8) {
+        let reading_arrives = now >= self.controllers[index].reading_delayed_until;
+        if self.controllers[index].alive
+            && reaches_store
+            && reading_arrives
+            && self.rng.gen_bool(0.8)
+        {
             self.controllers[index].read_store(&self.store_log, now);
         }
         if !self.may_act(index) {
@@ -281,6 +333,9 @@
         } else {
             LeaderDecisions::default()
         };
+        if leads && reaches_store {
+            self.registry_round(index, &deleted);
+        }
         for command in commands {
             self.send_direct_command(index, command);
         }
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -9,6 +9,18 @@
 /// The number of latest machines from which a fault of a single worker selects one.
 const LATEST_MACHINES: usize = 5;
 
+/// How many machines the focused fault plan takes away together.
+const MACHINES_TAKEN: usize = 3;
+
+/// Which faults are injected.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FaultPlan {
+    /// All kinds, at random.
+    All,
+    /// Controllers that return while machines come up and the leader's knowledge lags.
+    NewMachinesMeetNewEpochs,
+}
+
 /// A failed controller and the time at which it recovers.
 #[derive(Clone, Copy)]
 pub(super) struct PendingRecovery {
@@ -27,6 +39,12 @@
             }
             return;
         }
+        if self.fault_plan == FaultPlan::NewMachinesMeetNewEpochs {
+            if self.rng.gen_bool(0.02) {
+                self.stop_a_follower();
+            }
+            return;
+        }
         if self.rng.gen_bool(0.003) {
             self.drop_incoming_of_one_worker();
         }
@@ -39,6 +57,12 @@
         if self.rng.gen_bool(0.002) {
             self.refuse_one_controller();
         }
+        if self.rng.gen_bool(0.005) {
+            self.take_one_machine();
+        }
+        if self.rng.gen_bool(0.02) {
+            self.delay_reading_of_one_controller();
+        }
         if self
             .mass_cancellation_at
             .is_some_and(|due_at| self.now >= due_at)
@@ -58,6 +82,12 @@
         }
     }
 
+    /// Returns the name of the controller that is to recover next.
+    pub(super) fn returning_controller(&self) -> Option<&'static str> {
+        self.recovery
+            .map(|recovery| CONTROLLERS[recovery.controller])
+    }
+
     /// Returns the recovery of another stopped controller, soon after the last one; `None` if
     /// all run.
     fn next_recovery(&mut self) -> Option<PendingRecovery> {
@@ -76,6 +106,14 @@
             .gen_range(count.saturating_sub(LATEST_MACHINES)..count)
     }
 
+    /// Takes one of the latest machines away, as the cloud does with spot machines. A new one
+    /// comes up in its place.
+    fn take_one_machine(&mut self) {
+        let index = self.latest_machine();
+        let id = self.workers[index].id.clone();
+        self.replace_machine(&id);
+    }
+
     /// Drops all messages to one worker, for less or more time than its lease lasts.
     fn drop_incoming_of_one_worker(&mut self) {
         let index = self.latest_machine();
@@ -132,6 +170,27 @@
         self.mass_cancellation_at = Some(self.now + self.rng.gen_range(0.2..MEMBER_LEASE_S));
     }
 
+    /// Delays the answer to one controller's reading of the store, most often the leader's. It
+    /// does not learn of a new epoch meanwhile, but of the outcomes of its writes.
+    fn delay_reading_of_one_controller(&mut self) {
+        if self.rng.gen_bool(0.7) {
+            return self.delay_reading_of_leader();
+        }
+        let index = self.rng.gen_range(0..CONTROLLERS.len());
+        self.delay_reading(index);
+    }
+
+    fn delay_reading_of_leader(&mut self) {
+        let leader = super::membership::controller_index(&self.epoch.leader).unwrap_or(0);
+        self.delay_reading(leader);
+    }
+
+    fn delay_reading(&mut self, index: usize) {
+        self.controllers[index].reading_delayed_until =
+            self.now + self.rng.gen_range(0.3..MEMBER_LEASE_S / 2.0);
+        self.statistics.delayed_readings += 1;
+    }
+
     /// Cancels many jobs and in most cases begins an outage of the store.
     fn cancel_many_and_stop_store(&mut self) {
         self.mass_cancellation_at = None;
@@ -182,6 +241,25 @@
         }
     }
 
+    /// Stops a controller that does not lead, and takes machines away. About when the controller
+    /// recovers, new machines come up, for which tasks are waiting.
+    fn stop_a_follower(&mut self) {
+        let leader = super::membership::controller_index(&self.epoch.leader).unwrap_or(0);
+        let index = (leader + self.rng.gen_range(1..CONTROLLERS.len())) % CONTROLLERS.len();
+        self.stop_controller(index);
+        let recovers_at = self.now + self.rng.gen_range(3.0..8.0);
+        self.recovery = Some(PendingRecovery {
+            controller: index,
+            at: recovers_at,
+        });
+        for _ in 0..MACHINES_TAKEN {
+            self.take_one_machine();
+            if let Some(worker) = self.workers.last_mut() {
+                worker.next_heartbeat_at = recovers_at - 0.1;
+            }
+        }
+    }
+
     /// Plans the recovery of a failed controller within 15 s.
     fn recover_within_seconds(&mut self, controller: usize) {
         let at = self.now + self.rng.gen_range(0.5..15.0);
@@ -201,8 +279,17 @@
         self.recovery = Some(PendingRecovery { controller, at });
     }
 
-    /// Ends the fault of a controller and makes it a member again.
+    /// Ends the fault of a controller and makes it a member again, at times while a new machine
+    /// comes up and the leader has not read of the new epoch yet.
     fn recover(&mut self, index: usize) {
+        match self.fault_plan {
+            FaultPlan::All if self.rng.gen_bool(0.5) => {
+                self.take_one_machine();
+                self.delay_reading_of_one_controller();
+            }
+            FaultPlan::All => {}
+            FaultPlan::NewMachinesMeetNewEpochs => self.delay_reading_of_leader(),
+        }
         let controller = &mut self.controllers[index];
         if controller.partitioned_until > 0.0 {
             controller.partitioned_until = 0.0;
@@ -221,6 +308,7 @@
         for index in 0..CONTROLLERS.len() {
             self.controllers[index].partitioned_until = 0.0;
             self.controllers[index].refused_until = 0.0;
+            self.controllers[index].reading_delayed_until = 0.0;
             if !self.controllers[index].alive || !self.is_member(index) {
                 self.start_controller(index);
             }
--- a/tests/common/simulated_cluster/mod.rs
+++ b/tests/common/simulated_cluster/mod.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod gangs;
 mod jobs;
+mod machine_registry;
 mod membership;
 mod network;
 #[path = "../settings.rs"]
@@ -20,6 +21,7 @@
 mod workers;
 
 use controllers::Controller;
+pub(crate) use faults::FaultPlan;
 use faults::PendingRecovery;
 use finchwood::config::settings::Settings;
 use finchwood::store::records::Epoch;
@@ -27,6 +29,7 @@
 use finchwood::wire::{Catalog, JobSpec, MachineType};
 use finchwood_sharding::shard_map::ShardMap;
 use gangs::GangRun;
+use machine_registry::ConditionalPageWrite;
 use network::Packet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -63,6 +66,8 @@
     store_log: Vec<KeyChange>,
     revision: u64,
     epoch: Epoch,
+    /// Which faults are injected.
+    fault_plan: FaultPlan,
     /// Whether all controllers use the shard map and hash ranges are transferred.
     uses_shard_map: bool,
     shard_map: ShardMap,
@@ -88,6 +93,8 @@
     job_revisions: HashMap<Arc<str>, u64>,
     /// Commits of finished tasks that are carried out late and whose writer gets no response.
     delayed_finishes: Vec<Scheduled<ConditionalFinishWrite>>,
+    /// Writes of registry pages that are carried out late and whose writer gets no response.
+    delayed_page_writes: Vec<Scheduled<ConditionalPageWrite>>,
     /// The key-value store responds to no controller before this time.
     store_outage_until: f64,
     /// When many jobs are to be cancelled at once, while or after the store refuses one
@@ -102,7 +109,7 @@
 
 impl SimulatedCluster {
     /// Returns a cluster whose controllers have all joined but have reconciled no machine.
-    pub(crate) fn new(seed: u64, uses_shard_map: bool) -> SimulatedCluster {
+    pub(crate) fn new(seed: u64, uses_shard_map: bool, fault_plan: FaultPlan) -> SimulatedCluster {
         let mut cluster = SimulatedCluster {
             settings: settings(),
             rng: StdRng::seed_from_u64(seed),
@@ -115,6 +122,7 @@
                 leader: String::new(),
                 uses_shard_map: false,
             },
+            fault_plan,
             uses_shard_map,
             shard_map: ShardMap::default(),
             shard_map_revision: 0,
@@ -132,6 +140,7 @@
             cancelled: HashMap::new(),
             job_revisions: HashMap::new(),
             delayed_finishes: Vec::new(),
+            delayed_page_writes: Vec::new(),
             store_outage_until: 0.0,
             mass_cancellation_at: None,
             recovery: None,
--- a/tests/common/simulated_cluster/network.rs
+++ b/tests/common/simulated_cluster/network.rs
@@ -39,6 +39,7 @@
 /// A controller's response to a heartbeat.
 #[derive(Clone)]
 pub(super) struct HeartbeatResponse {
+    from: usize,
     worker: usize,
     session: u64,
     sequence: u64,
@@ -180,6 +181,7 @@
                 .apply_heartbeat(&heartbeat, false, &controller.cache, self.now);
         if let HeartbeatReply::Accepted { token, commands } = reply {
             self.send(Packet::HeartbeatResponse(HeartbeatResponse {
+                from: to,
                 worker,
                 session: heartbeat.session,
                 sequence: heartbeat.seq,
@@ -207,6 +209,7 @@
             return;
         }
         worker.awaited_sequence = None;
+        worker.answered_by = Some(response.from);
         worker.token = response.token;
         worker.lease_renewed_at = response.sent_at;
         let started = worker.apply_commands(&response.commands, &self.gangs, now);
--- a/tests/common/simulated_cluster/state_store.rs
+++ b/tests/common/simulated_cluster/state_store.rs
@@ -54,6 +54,7 @@
         for write in take_due(&mut self.delayed_shard_map_writes, self.now) {
             self.commit_shard_map(&write);
         }
+        self.carry_out_delayed_page_writes();
     }
 
     /// Commits finished tasks if the condition holds. The commit of a job's last task also
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -28,6 +28,12 @@
     pub(crate) gang_failures: u32,
     /// Gangs whose tasks all completed.
     pub(crate) completed_gangs: u32,
+    /// Answers to a controller's reading of the key-value store that were late.
+    pub(crate) delayed_readings: u32,
+    /// Writes of registry pages by a leader that had been deposed, carried out or refused.
+    pub(crate) deposed_page_writes: u32,
+    /// Writes of registry pages that were carried out late.
+    pub(crate) late_page_writes: u32,
     /// Completed transfers of hash ranges.
     pub(crate) completed_transfers: u64,
 }
@@ -45,6 +51,9 @@
         self.gang_runs += other.gang_runs;
         self.gang_failures += other.gang_failures;
         self.completed_gangs += other.completed_gangs;
+        self.delayed_readings += other.delayed_readings;
+        self.deposed_page_writes += other.deposed_page_writes;
+        self.late_page_writes += other.late_page_writes;
         self.completed_transfers += other.completed_transfers;
     }
 }
--- a/tests/common/simulated_cluster/workers.rs
+++ b/tests/common/simulated_cluster/workers.rs
@@ -1,10 +1,9 @@
 //! A model of workers that follow the protocol, and of their machines.
 
 use super::network::{HeartbeatPacket, Packet};
-use super::{SimulatedCluster, CONTROLLERS, WORKER_LEASE_S};
+use super::{FaultPlan, SimulatedCluster, CONTROLLERS, WORKER_LEASE_S};
 use finchwood::cluster::membership;
 use finchwood::store::records::MachineRecord;
-use finchwood::store::KeyChange;
 use finchwood::wire::{Command, Heartbeat, JobKind, Task, TaskReport, TaskState};
 use rand::Rng;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -45,6 +44,8 @@
     pub(super) tasks: BTreeMap<String, WorkerTask>,
     /// The sequence number of the heartbeat whose response it waits for.
     pub(super) awaited_sequence: Option<u64>,
+    /// The controller that has answered the last heartbeat.
+    pub(super) answered_by: Option<usize>,
     /// The time before which no response or command reaches it, though its heartbeats arrive.
     pub(super) drops_incoming_until: f64,
     /// The time before which its heartbeats are lost, though commands reach it.
@@ -166,11 +167,9 @@
 }
 
 impl SimulatedCluster {
-    /// Adds a machine that is up and in the machine registry.
+    /// Adds a machine that is up and in the machine registry, and that was in use before.
     pub(super) fn add_machine(&mut self) {
-        let number = self.workers.len();
-        let id = format!("m-{number}");
-        let zone = format!("z{}", number % 2);
+        let (id, zone) = self.add_worker();
         let record = MachineRecord {
             machine_type: "k".into(),
             zone: zone.as_str().into(),
@@ -183,14 +182,53 @@
             &format!("fw/r/{id}"),
             serde_json::to_value(record).expect("a JSON value"),
         );
+    }
+
+    /// Adds a new machine that is up.
+    fn rent_machine(&mut self) {
+        let (id, zone) = self.add_worker();
+        self.put_rental_page(&id, &zone);
+    }
+
+    /// Returns the id of the next machine. While a stopped controller is about to return, the
+    /// focused fault plan selects an id with which the machine belongs to the leader before and
+    /// to that controller afterwards.
+    fn next_machine_id(&self) -> String {
+        let id = format!("m-{}", self.workers.len());
+        let Some(returning) = self
+            .returning_controller()
+            .filter(|_| self.fault_plan == FaultPlan::NewMachinesMeetNewEpochs)
+        else {
+            return id;
+        };
+        let mut members = self.epoch.members.clone();
+        members.remove(returning);
+        let mut with_returning = members.clone();
+        with_returning.insert(returning.into(), 0);
+        let changes_owner = |id: &String| {
+            membership::owner_by_hash(&members, id) == Some(&*self.epoch.leader)
+                && membership::owner_by_hash(&with_returning, id) == Some(returning)
+        };
+        (0..1000)
+            .map(|suffix| format!("{id}-{suffix}"))
+            .find(changes_owner)
+            .unwrap_or(id)
+    }
+
+    /// Adds a worker that is up, and returns its machine's id and zone.
+    fn add_worker(&mut self) -> (String, String) {
+        let number = self.workers.len();
+        let id = self.next_machine_id();
+        let zone = format!("z{}", number % 2);
         self.workers.push(Worker {
-            id,
-            zone,
+            id: id.clone(),
+            zone: zone.clone(),
             alive: true,
             session: 1,
             lease_renewed_at: self.now,
             ..Worker::default()
         });
+        (id, zone)
     }
 
     /// Deletes a machine and adds another in its place, as the leader does through the cloud.
@@ -206,12 +244,8 @@
         worker.alive = false;
         worker.tasks.clear();
         self.statistics.replaced_machines += 1;
-        self.revision += 1;
-        self.store_log.push(KeyChange::Delete {
-            key: format!("fw/r/{id}"),
-            revision: self.revision,
-        });
-        self.add_machine();
+        self.remove_from_registry(id);
+        self.rent_machine();
     }
 
     /// Returns the index of the worker on a machine.
@@ -264,22 +298,26 @@
         }
     }
 
-    /// Sends a heartbeat, in most cases to the machine's owner and otherwise to a random
-    /// controller.
+    /// Sends a heartbeat to the controller that has answered the last one; otherwise in most
+    /// cases to the machine's owner, and else to a random controller.
     fn send_heartbeat(&mut self, index: usize) {
         let now = self.now;
         let worker = &mut self.workers[index];
         worker.next_heartbeat_at = now + self.rng.gen_range(0.5..3.0);
+        if worker.awaited_sequence.is_some() {
+            worker.answered_by = None;
+        }
         let heartbeat = worker.heartbeat();
         worker.awaited_sequence = Some(heartbeat.seq);
+        let answered_by = worker.answered_by;
         let any = self.rng.gen_range(0..CONTROLLERS.len());
         let owner =
             membership::owner_by_shard_map(&self.epoch, &self.shard_map, &heartbeat.machine)
                 .and_then(super::membership::controller_index);
-        let to = if self.rng.gen_bool(0.8) {
-            owner.unwrap_or(any)
-        } else {
-            any
+        let to = match answered_by {
+            Some(controller) => controller,
+            None if self.rng.gen_bool(0.8) => owner.unwrap_or(any),
+            None => any,
         };
         self.send(Packet::Heartbeat(HeartbeatPacket {
             to,
--- a/tests/control_plane/cold_restart.rs
+++ b/tests/control_plane/cold_restart.rs
@@ -680,3 +680,73 @@
     );
     assert!(leader.is_reconciled());
 }
+
+/// A cache with a job of two tasks and the machine `m-1`, which its page does not mark as in use.
+fn cache_with_unmarked_machine(batch: &Arc<JobSpec>) -> StoreCache {
+    let mut cache = store_cache(0, &[batch]);
+    cache.put("fw/r/fw-1-1.0", rental_page(None), 10);
+    cache
+}
+
+fn rental_page(address: Option<&str>) -> Value {
+    json!({"b": "k", "z": "e", "s": false, "t": 0, "m": {"m-1": address}})
+}
+
+/// Guards against tasks that are started elsewhere although they run on a machine that an earlier
+/// leader has marked as in use only after its new owner had entered the epoch (review, case 2).
+#[test]
+fn a_mark_that_is_read_after_the_epoch_began_makes_the_leader_wait_for_the_machine() {
+    let batch = job("wk-1", 2);
+    let mut cache = cache_with_unmarked_machine(&batch);
+    let (mut leader, mut shard) = restarted_leader_and_shard(&cache);
+    cache.put("fw/r/fw-1-1.0", rental_page(Some("10.0.0.1:1")), 11);
+    shard.register_machine(&"m-1".into(), &cache.registry["m-1"].record.clone(), 0.05);
+    assert_eq!(
+        newly_assigned_tasks(&mut leader, &mut shard, &cache, 0.1),
+        [],
+        "the tasks may run on the machine"
+    );
+    assert_eq!(shard.due_commands(&cache, 0.1).len(), 1, "it is probed");
+    let running = [
+        ("wk-1/0", OLD_ATTEMPT, RUNNING, None),
+        ("wk-1/1", OLD_ATTEMPT, RUNNING, None),
+    ];
+    report_until_reconciled(&mut shard, &cache, 1, &running, 0.2);
+    assert_eq!(
+        newly_assigned_tasks(&mut leader, &mut shard, &cache, 0.5),
+        [],
+        "the tasks were found"
+    );
+}
+
+/// Guards against a start on a machine whose worker still obeys an earlier owner: a machine
+/// without the mark is reconciled, and thus marked and used, only after its worker has
+/// acknowledged its owner's token.
+#[test]
+fn a_new_machine_is_reconciled_only_after_its_worker_has_acknowledged_a_token() {
+    let batch = job("wk-1", 2);
+    let mut cache = cache_with_unmarked_machine(&batch);
+    let (_, mut shard) = restarted_leader_and_shard(&cache);
+    let reported = |shard: &mut Shard, cache: &StoreCache, now: f64| {
+        let report = shard.next_report(cache, now);
+        let machine = report.machines.last().cloned().expect("the machine");
+        (
+            machine.has_reported,
+            machine.reconciled,
+            machine.schedulable,
+        )
+    };
+    assert_eq!(reported(&mut shard, &cache, 0.1), (false, false, false));
+    let first = heartbeat_from(1, 1, 1, 0, &[]);
+    let (own_token, _) = accepted(shard.apply_heartbeat(&first, false, &cache, 0.2));
+    assert_eq!(reported(&mut shard, &cache, 0.2), (true, false, false));
+    let probes = shard.due_commands(&cache, 0.2);
+    assert_eq!(probes.len(), 1, "the worker is probed at its first report");
+    // The mark alone does not make the machine schedulable.
+    cache.put("fw/r/fw-1-1.0", rental_page(Some("10.0.0.1:1")), 11);
+    shard.register_machine(&"m-1".into(), &cache.registry["m-1"].record.clone(), 0.3);
+    assert_eq!(reported(&mut shard, &cache, 0.3), (true, false, false));
+    let response = heartbeat_from(1, 1, 2, own_token, &[]);
+    shard.command_completed(&"m-1".into(), &probes[0].body, Some(&response), &cache, 0.4);
+    assert_eq!(reported(&mut shard, &cache, 0.4), (true, true, true));
+}
--- a/tests/interleavings/hash_range_transfers.rs
+++ b/tests/interleavings/hash_range_transfers.rs
@@ -2,14 +2,14 @@
 //! shard map are late, refused or without a response, and the source, the target or the leader
 //! may crash or be partitioned during a transfer.
 
-use crate::simulated_cluster::{SimulatedCluster, Statistics};
+use crate::simulated_cluster::{FaultPlan, SimulatedCluster, Statistics};
 use crate::{ALL_ENDED_BY_S, FAULTS_UNTIL_S};
 
 #[test]
 fn transfers_of_hash_ranges_during_faults_lose_no_task_and_run_none_twice() {
     let mut total = Statistics::default();
     for seed in 100..140 {
-        let mut cluster = SimulatedCluster::new(seed, true);
+        let mut cluster = SimulatedCluster::new(seed, true, FaultPlan::All);
         cluster.run_until(FAULTS_UNTIL_S);
         cluster.end_faults();
         cluster.run_until(ALL_ENDED_BY_S);
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -1,14 +1,19 @@
 //! No interleaving of messages, faults and elections runs a task twice, and all jobs end after
 //! the faults have ended.
 
-use crate::simulated_cluster::{SimulatedCluster, Statistics};
+use crate::simulated_cluster::{FaultPlan, SimulatedCluster, Statistics};
 use crate::{ALL_ENDED_BY_S, FAULTS_UNTIL_S};
 
+/// The number of runs with the focused fault plan, and how long each lasts, in simulated
+/// seconds.
+const FOCUSED_SEEDS: u64 = 250;
+const FOCUSED_UNTIL_S: f64 = 60.0;
+
 #[test]
 fn no_interleaving_starts_a_task_twice_and_all_jobs_end() {
     let mut total = Statistics::default();
     for seed in 0..40 {
-        let mut cluster = SimulatedCluster::new(seed, false);
+        let mut cluster = SimulatedCluster::new(seed, false, FaultPlan::All);
         cluster.run_until(FAULTS_UNTIL_S);
         cluster.end_faults();
         cluster.run_until(ALL_ENDED_BY_S);
@@ -28,6 +33,9 @@
         gang_runs,
         gang_failures,
         completed_gangs,
+        delayed_readings,
+        deposed_page_writes,
+        late_page_writes,
         ..
     } = total;
     println!(
@@ -72,4 +80,39 @@
         cancellations_from_peers > 20,
         "controllers received only {cancellations_from_peers} new cancellations from others"
     );
+    assert!(
+        delayed_readings > 100,
+        "readings of the store were late only {delayed_readings} times"
+    );
+    assert!(
+        deposed_page_writes > 20,
+        "deposed leaders wrote only {deposed_page_writes} registry pages"
+    );
+    assert!(
+        late_page_writes > 20,
+        "only {late_page_writes} registry pages were written late"
+    );
+}
+
+/// Guards against a deposed leader that marks a new machine as in use after the next owner and
+/// the next leader have taken the missing mark for a proof that it is empty (review, case 2).
+#[test]
+fn new_machines_that_meet_new_epochs_run_no_task_twice() {
+    let mut total = Statistics::default();
+    for seed in 0..FOCUSED_SEEDS {
+        let mut cluster = SimulatedCluster::new(seed, false, FaultPlan::NewMachinesMeetNewEpochs);
+        cluster.run_until(FOCUSED_UNTIL_S);
+        total += cluster.statistics();
+    }
+    let Statistics {
+        starts,
+        deposed_page_writes,
+        ..
+    } = total;
+    println!("{starts} starts, {deposed_page_writes} pages written by deposed leaders");
+    assert!(starts > 1000, "only {starts} tasks were started");
+    assert!(
+        deposed_page_writes > 100,
+        "deposed leaders wrote only {deposed_page_writes} registry pages"
+    );
 }
--- a/tests/store/registry_pages.rs
+++ b/tests/store/registry_pages.rs
@@ -3,7 +3,10 @@
 
 use finchwood::store::cache::StoreCache;
 use finchwood::store::records::RegistryPage;
-use finchwood::store::registry_pages::{split_oversized_pages, PageLimit, PageQueue, Pages};
+use finchwood::store::registry_pages::{
+    split_oversized_pages, write_conditions, PageLimit, PageQueue, Pages,
+};
+use finchwood::store::Condition;
 use serde_json::json;
 use std::sync::Arc;
 
@@ -114,3 +117,12 @@
         .values()
         .all(|page| json!(page.value).to_string().len() <= 2048));
 }
+
+/// Guards against marks of use, and second pages of a machine, by a leader that has been deposed
+/// (review, cases 1 and 2).
+#[test]
+fn a_page_is_written_only_in_the_epoch_of_its_writer() {
+    let conditions = write_conditions("fw/r/fw-1-1.0", 11, 19);
+    assert!(conditions.contains(&Condition::new("fw/r/fw-1-1.0", 11)));
+    assert!(conditions.contains(&Condition::new("fw/epoch", 19)));
+}
