--- a/crates/types/src/cloud.rs
+++ b/crates/types/src/cloud.rs
@@ -1,5 +1,6 @@
 //! The messages between controllers and the cloud: the catalog, rentals and lists of machines.
 
+use crate::message_size::LIST_BYTES;
 use crate::resources::Resources;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -44,6 +45,7 @@
             cpus: self.cpus,
             gpus: self.gpus,
             mem_gb: self.mem_gb,
+            report_bytes: LIST_BYTES as f64,
         }
     }
 }
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: their specifications, as users submit them, and their states, as users see them.
 
 use crate::cloud::Catalog;
+use crate::message_size::task_report_bytes;
 use crate::resources::Resources;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -11,7 +12,7 @@
 pub type JobId = Arc<str>;
 
 /// The maximum length of a job id, in bytes.
-const MAX_JOB_ID_BYTES: usize = 64;
+pub(crate) const MAX_JOB_ID_BYTES: usize = 64;
 
 /// Whether `id` has the form of a job id: `wk-`, followed by ASCII letters, digits or hyphens,
 /// and not too long.
@@ -185,6 +186,7 @@
             cpus: self.cpus,
             gpus: self.gpus,
             mem_gb: self.mem_gb,
+            report_bytes: task_report_bytes(&self.id) as f64,
         }
     }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod finished;
 pub mod job;
+pub mod message_size;
 pub mod resources;
 pub mod task;
 pub mod token;
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -1,4 +1,4 @@
-//! Amounts of processor cores, accelerators and memory.
+//! Amounts of processor cores, accelerators, memory and space in a worker's report.
 
 use crate::job::MAX_TASKS;
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,10 @@
     /// The memory, in gigabytes.
     #[serde(rename = "mem")]
     pub mem_gb: f64,
+    /// The space in the report of the machine's worker, in bytes: a machine holds no more tasks
+    /// than one report can list. Controllers do not send each other this amount.
+    #[serde(skip)]
+    pub report_bytes: f64,
 }
 
 /// The tolerance of comparisons, which absorbs the rounding errors of repeated additions.
@@ -24,6 +28,7 @@
         needed.cpus <= self.cpus + TOLERANCE
             && needed.gpus <= self.gpus + TOLERANCE
             && needed.mem_gb <= self.mem_gb + TOLERANCE
+            && needed.report_bytes <= self.report_bytes + TOLERANCE
     }
 
     /// Whether all amounts are zero.
@@ -36,6 +41,7 @@
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
         self.mem_gb -= other.mem_gb;
+        self.report_bytes -= other.report_bytes;
     }
 
     /// Adds `other`.
@@ -43,6 +49,7 @@
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.mem_gb += other.mem_gb;
+        self.report_bytes += other.report_bytes;
     }
 
     /// Returns how many tasks that need `per_task` each fit into these resources.
@@ -52,6 +59,7 @@
             (self.cpus, per_task.cpus),
             (self.gpus, per_task.gpus),
             (self.mem_gb, per_task.mem_gb),
+            (self.report_bytes, per_task.report_bytes),
         ] {
             if needed > 0.0 {
                 most = most.min(((available + TOLERANCE) / needed).floor());
--- a/crates/types/src/worker.rs
+++ b/crates/types/src/worker.rs
@@ -79,6 +79,17 @@
     },
 }
 
+impl Command {
+    /// Returns the id of the task that the command is for.
+    pub fn task_id(&self) -> &str {
+        match self {
+            Command::Start { task, .. }
+            | Command::Stop { task, .. }
+            | Command::Forget { task, .. } => task,
+        }
+    }
+}
+
 /// The response of a machine's owner to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
--- a/src/scheduler/capacity/machine_slot.rs
+++ b/src/scheduler/capacity/machine_slot.rs
@@ -3,6 +3,7 @@
 use super::{NameInterner, PlacementRequest, PreemptionScope};
 use crate::shard::MachineStatus;
 use crate::wire::{MachineId, Resources};
+use finchwood_types::message_size::{task_report_bytes, LIST_BYTES};
 use std::sync::Arc;
 
 /// A machine that takes new tasks. Its names are interned.
@@ -30,6 +31,27 @@
     pub images: Arc<[u32]>,
 }
 
+/// A job id of the usual length, by which the leader estimates the size of reports.
+const USUAL_JOB_ID: &str = "wk-000000";
+
+/// Estimates the space that is left in the report of a machine with this many tasks, in bytes.
+/// Its owner knows the exact space, and returns the tasks that do not fit.
+fn free_report_bytes(tasks: u32) -> f64 {
+    LIST_BYTES as f64 - f64::from(tasks) * task_report_bytes(USUAL_JOB_ID) as f64
+}
+
+/// Returns what can be gained by preempting tasks of a machine with this many, and with it the
+/// space that they take in the report.
+fn with_report_bytes(preemptible: Resources, tasks: u32) -> Resources {
+    if preemptible.is_empty() {
+        return preemptible;
+    }
+    Resources {
+        report_bytes: f64::from(tasks) * task_report_bytes(USUAL_JOB_ID) as f64,
+        ..preemptible
+    }
+}
+
 impl MachineSlot {
     /// Converts the reported status of a machine of `shard`.
     pub fn new(status: &MachineStatus, shard: u32, names: &mut NameInterner) -> MachineSlot {
@@ -45,9 +67,12 @@
             machine_type: names.intern(&status.machine_type),
             zone: names.intern(&status.zone),
             spot: status.spot,
-            free: status.free,
-            preemptible: status.preemptible,
-            preemptible_low: status.preemptible_low,
+            free: Resources {
+                report_bytes: free_report_bytes(status.tasks),
+                ..status.free
+            },
+            preemptible: with_report_bytes(status.preemptible, status.tasks),
+            preemptible_low: with_report_bytes(status.preemptible_low, status.tasks),
             images: images.into(),
         }
     }
--- a/src/scheduler/capacity/mod.rs
+++ b/src/scheduler/capacity/mod.rs
@@ -213,6 +213,7 @@
                     cpus: per_task.cpus * taken,
                     gpus: per_task.gpus * taken,
                     mem_gb: per_task.mem_gb * taken,
+                    report_bytes: per_task.report_bytes * taken,
                 },
             );
         }
--- a/src/scheduler/capacity/placement_request.rs
+++ b/src/scheduler/capacity/placement_request.rs
@@ -97,5 +97,6 @@
             && other.task_resources.cpus <= self.task_resources.cpus
             && other.task_resources.gpus <= self.task_resources.gpus
             && other.task_resources.mem_gb <= self.task_resources.mem_gb
+            && other.task_resources.report_bytes <= self.task_resources.report_bytes
     }
 }
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -150,9 +150,11 @@
             cpus: team.map_or(0.0, |team| team.cpu_cap()) - used.cpus,
             gpus: team.map_or(0.0, |team| team.gpu_cap()) - used.gpus,
             mem_gb: f64::INFINITY,
+            report_bytes: f64::INFINITY,
         };
         let quota = left.max_tasks(&Resources {
             mem_gb: 0.0,
+            report_bytes: 0.0,
             ..entry.spec.task_resources()
         }) as usize;
         let max_tasks = entry.startable_tasks(quota);
--- a/src/shard/commands.rs
+++ b/src/shard/commands.rs
@@ -2,6 +2,7 @@
 //! by which workers reject late copies of them.
 
 use super::machine::{Machine, ObservedTask};
+use super::message_space::MessageSpace;
 use super::{Shard, TaskPhase, TaskStopReason, LATE_AFTER_INTERVALS};
 use crate::clock::Seconds;
 use crate::cluster::membership::{token, token_epoch};
@@ -92,7 +93,8 @@
 }
 
 impl Shard {
-    /// Returns the commands to be sent to a machine now, and their token. `direct` is true if
+    /// Returns the commands to be sent to a machine now, and their token. They are at most as
+    /// many as a message may hold: stops first, then forgets, then starts. The rest stays due. `direct` is true if
     /// they are sent directly, not in a reply. Forget commands wait while a direct command is
     /// in flight, and always carry a token above that of every earlier start: otherwise a late
     /// copy of a start would run the forgotten attempt again.
@@ -103,21 +105,24 @@
         direct: bool,
     ) -> (u64, Vec<Command>) {
         let epoch = self.epoch;
+        let mut space = MessageSpace::new();
         let Some(machine) = self.machines.get_mut(id) else {
             return (token(epoch, 0), Vec::new());
         };
         if !machine.is_reconciled() || machine.token_exhausted() {
             return (
                 token(epoch, machine.token.counter),
-                machine.stops_for_cancelled(cache),
+                space.take_fitting(machine.stops_for_cancelled(cache)),
             );
         }
-        let forgets = if machine.commands.in_flight {
-            Vec::new()
+        let may_forget = !machine.commands.in_flight;
+        let stops = space.take_fitting(self.stops_for_unassigned(id));
+        let stops_of_assigned = self.stops_for_assigned(id, &mut space, cache);
+        let forgets = if may_forget {
+            space.take_fitting(self.forget_commands(id, cache))
         } else {
-            self.forget_commands(id, cache)
+            Vec::new()
         };
-        let stops = self.stops_for_unassigned(id);
         let Some(machine) = self.machines.get_mut(id) else {
             return (token(epoch, 0), Vec::new());
         };
@@ -134,41 +139,41 @@
             .or_default() += stops.len() as u64;
         let mut commands = forgets;
         commands.extend(stops);
-        for task in self.assigned.task_ids_on(id) {
-            commands.extend(self.command_for_assigned(id, &task, token, cache));
-        }
+        commands.extend(stops_of_assigned);
+        commands.extend(self.starts(id, token, &mut space));
         (token, commands)
     }
 
-    /// Returns the command to be sent for an assigned task, if any: a stop until the task has
-    /// stopped, or a start until its machine reports it.
-    fn command_for_assigned(
+    /// Returns stop commands for the assigned tasks of a machine that are to be stopped, until
+    /// they have stopped. Those that were not sent yet come first.
+    fn stops_for_assigned(
         &mut self,
         id: &MachineId,
-        task: &Task,
-        token: u64,
+        space: &mut MessageSpace,
         cache: &StoreCache,
-    ) -> Option<Command> {
-        let (session, used) = self
-            .machines
-            .get(id)
-            .map(|machine| (machine.session.id, machine.used))?;
+    ) -> Vec<Command> {
+        let placements = self.assigned.on_machine(id).filter_map(|(task, assigned)| {
+            let placement = assigned.placement.as_ref()?;
+            placement.stop_reason?;
+            Some((placement.stop_sent, task.clone()))
+        });
+        let mut stopping: Vec<(bool, Task)> = placements.collect();
+        stopping.sort();
+        let mut commands = Vec::new();
+        for (_, task) in stopping {
+            if space.try_take(&task.to_string()) {
+                commands.extend(self.stop_command(&task, cache));
+            }
+        }
+        commands
+    }
+
+    /// Returns the stop command for an assigned task that is to be stopped; `None` if the
+    /// worker needs none.
+    fn stop_command(&mut self, task: &Task, cache: &StoreCache) -> Option<Command> {
         let attempt = self.assigned.get(task)?.attempt;
         let placement = self.assigned.placement_mut(task)?;
-        let command_counts = &mut self.restart_record.commands;
-        let Some(stop_reason) = placement.stop_reason else {
-            if placement.confirmed || !used {
-                return None;
-            }
-            placement.start_token = Some(token);
-            placement.session = session;
-            placement.start_sent = true;
-            command_counts.starts += 1;
-            return Some(Command::Start {
-                task: task.to_string(),
-                attempt,
-            });
-        };
+        let stop_reason = placement.stop_reason?;
         if placement.phase == TaskPhase::Done {
             return None;
         }
@@ -178,7 +183,8 @@
         if placement.phase == TaskPhase::Saving && grace_s > 0.0 {
             return None;
         }
-        *command_counts.stops.entry(stop_reason.into()).or_default() += 1;
+        let stops = &mut self.restart_record.commands.stops;
+        *stops.entry(stop_reason.into()).or_default() += 1;
         Some(Command::Stop {
             task: task.to_string(),
             attempt,
@@ -186,6 +192,39 @@
         })
     }
 
+    /// Returns start commands for the assigned tasks of a machine that it has not reported yet.
+    fn starts(&mut self, id: &MachineId, token: u64, space: &mut MessageSpace) -> Vec<Command> {
+        let Some(machine) = self.machines.get(id).filter(|machine| machine.used) else {
+            return Vec::new();
+        };
+        let session = machine.session.id;
+        let mut commands = Vec::new();
+        for task in self.assigned.task_ids_on(id) {
+            let Some(attempt) = self.assigned.get(&task).map(|assigned| assigned.attempt) else {
+                continue;
+            };
+            let Some(placement) = self.assigned.placement_mut(&task) else {
+                continue;
+            };
+            if placement.stop_reason.is_some() || placement.confirmed {
+                continue;
+            }
+            let task_id = task.to_string();
+            if !space.try_take(&task_id) {
+                return commands;
+            }
+            placement.start_token = Some(token);
+            placement.session = session;
+            placement.start_sent = true;
+            self.restart_record.commands.starts += 1;
+            commands.push(Command::Start {
+                task: task_id,
+                attempt,
+            });
+        }
+        commands
+    }
+
     /// Returns forget commands for the ended tasks that a machine's worker need not report
     /// any longer.
     fn forget_commands(&self, id: &MachineId, cache: &StoreCache) -> Vec<Command> {
@@ -310,7 +349,8 @@
             machine.commands.in_flight = true;
             self.restart_record.commands.probes += 1;
             let token = token(self.epoch, machine.token.counter);
-            (token, machine.stops_for_cancelled(cache))
+            let stops = MessageSpace::new().take_fitting(machine.stops_for_cancelled(cache));
+            (token, stops)
         };
         Some(DirectCommand {
             machine: id,
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -13,6 +13,7 @@
 mod heartbeats;
 mod leases;
 mod machine;
+mod message_space;
 mod messages;
 mod orders;
 mod placement;
@@ -22,6 +23,7 @@
 mod removal;
 mod report;
 mod transfer;
+mod transfer_conversions;
 
 pub use commands::{CommandCapacity, DirectCommand, HeartbeatReply};
 pub use messages::{
--- a/src/shard/placement.rs
+++ b/src/shard/placement.rs
@@ -7,6 +7,7 @@
 use crate::scheduler::bin_packing::{self, Candidate};
 use crate::store::cache::StoreCache;
 use crate::wire::{JobId, JobSpec, MachineId, Priority, Resources, Task, TaskState};
+use finchwood_types::message_size::task_report_bytes;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 
@@ -59,8 +60,9 @@
 
 impl Shard {
     /// Returns the free capacity of a machine: its total less the tasks that it reported and
-    /// those placed there since. It is zero if the machine's type, or the specification of a
-    /// reported task, is unknown.
+    /// those placed there since. Of ended tasks, which its worker reports until it may forget
+    /// them, only the space in the report counts. The capacity is zero if the machine's type, or
+    /// the specification of a reported task, is unknown.
     pub(super) fn free_resources(
         &self,
         id: &MachineId,
@@ -78,11 +80,15 @@
         let mut free = total;
         let spec = |job: &JobId| cache.jobs.get(job).and_then(|job| job.record.spec.as_ref());
         for (task, observed) in &machine.contents.tasks {
-            if observed.state != TaskState::Ended {
-                match spec(&task.job) {
-                    Some(spec) => free.subtract(&spec.task_resources()),
-                    None => return Resources::default(),
-                }
+            if observed.state == TaskState::Ended {
+                // Guard: if ended tasks did not count, the worker's report could become longer
+                // than controllers accept, and its lease would expire.
+                free.report_bytes -= task_report_bytes(&task.job) as f64;
+                continue;
+            }
+            match spec(&task.job) {
+                Some(spec) => free.subtract(&spec.task_resources()),
+                None => return Resources::default(),
             }
         }
         for (task, assigned) in self.assigned.on_machine(id) {
--- a/src/shard/report.rs
+++ b/src/shard/report.rs
@@ -6,8 +6,26 @@
 use crate::cluster::failure_detection::{ZoneContactAges, ZoneContactSpan};
 use crate::store::cache::StoreCache;
 use crate::wire::{MachineId, Priority, Resources};
+use finchwood_types::message_size::longest_task_report_bytes;
 use std::sync::Arc;
 
+/// Returns resources as they are reported to the leader.
+fn without_report_bytes(resources: Resources) -> Resources {
+    Resources {
+        report_bytes: 0.0,
+        ..resources
+    }
+}
+
+/// Returns the free capacity of a machine as it is reported to the leader: none if the report of
+/// the machine's worker may have no space for another task.
+fn reported_free(free: Resources) -> Resources {
+    if free.report_bytes < longest_task_report_bytes() as f64 {
+        return Resources::default();
+    }
+    without_report_bytes(free)
+}
+
 impl Shard {
     /// Returns the status of a machine for the report.
     pub(super) fn machine_status(
@@ -18,6 +36,7 @@
         now: Seconds,
     ) -> MachineStatus {
         let (preemptible, preemptible_low) = self.preemptible_resources(id, cache, now);
+        let free = self.free_resources(id, machine, cache);
         let mut images: Vec<Arc<str>> = machine
             .contents
             .images
@@ -34,9 +53,9 @@
             has_reported: machine.session.last_heartbeat_at.is_some(),
             registered: machine.registered,
             address: machine.identity.address.clone(),
-            free: self.free_resources(id, machine, cache),
-            preemptible,
-            preemptible_low,
+            free: reported_free(free),
+            preemptible: without_report_bytes(preemptible),
+            preemptible_low: without_report_bytes(preemptible_low),
             schedulable: self.is_schedulable(machine, now) && !self.transfers.is_fenced(id),
             reclaim_notice: machine.reclaim_at.is_some(),
             faulty: machine.is_faulty(),
--- a/src/shard/transfer.rs
+++ b/src/shard/transfer.rs
@@ -10,9 +10,9 @@
     CommandChannel, Machine, MachineContents, MachineIdentity, ObservedTask, TokenAcknowledgement,
     WorkerSession,
 };
-use super::{
-    AssignedTask, HeartbeatReply, Placement, RemovalReason, Shard, TaskPhase, TaskStopReason,
-};
+use super::message_space::MessageSpace;
+use super::transfer_conversions::{task_transfer_state, transferred_placement};
+use super::{AssignedTask, HeartbeatReply, RemovalReason, Shard, TaskStopReason};
 use crate::clock::{self, Seconds};
 use crate::cluster::membership::{self, token, token_epoch};
 use crate::store::cache::StoreCache;
@@ -25,9 +25,6 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The start token that is sent for a task whose start can't be in flight.
-const NO_START_TOKEN: u64 = u64::MAX;
-
 /// A hash range that this shard, as the source of a transfer, has fenced: its machines are
 /// sent no commands except stops of cancelled tasks.
 #[derive(Debug, Clone)]
@@ -243,7 +240,7 @@
             .collect();
         HeartbeatReply::Accepted {
             token: token(epoch, machine.token.counter),
-            commands,
+            commands: MessageSpace::new().take_fitting(commands),
         }
     }
 
@@ -463,59 +460,3 @@
         }
     }
 }
-
-impl From<&ReportedTaskState> for ObservedTask {
-    fn from(state: &ReportedTaskState) -> ObservedTask {
-        ObservedTask {
-            attempt: state.attempt,
-            state: state.state,
-            cause: state.cause.clone(),
-        }
-    }
-}
-
-/// Returns the placement of a transferred task, from the source's state of it.
-fn transferred_placement(
-    machine: &MachineId,
-    state: &AssignedTaskState,
-    now: Seconds,
-) -> Placement {
-    let phase = match (state.completed, state.confirmed) {
-        (true, _) => TaskPhase::Done,
-        (false, true) => TaskPhase::Running,
-        (false, false) => TaskPhase::Starting,
-    };
-    Placement {
-        machine: machine.clone(),
-        session: state.session,
-        phase,
-        start_token: (state.start_token != NO_START_TOKEN).then_some(state.start_token),
-        start_sent: state.start_sent,
-        confirmed: state.confirmed,
-        stop_reason: state.stopping.then_some(TaskStopReason::Recalled),
-        stop_sent: false,
-        phase_since: now - state.in_phase_s,
-    }
-}
-
-/// Returns the state of an assigned task for the target of its machine's transfer; `None`
-/// if the task has no machine.
-fn task_transfer_state(
-    task: &Task,
-    assigned: &AssignedTask,
-    now: Seconds,
-) -> Option<AssignedTaskState> {
-    let placement = assigned.placement.as_ref()?;
-    Some(AssignedTaskState {
-        task: task.clone(),
-        attempt: assigned.attempt,
-        assignment: assigned.assignment,
-        session: placement.session,
-        start_token: placement.start_token.unwrap_or(NO_START_TOKEN),
-        start_sent: placement.start_sent,
-        confirmed: placement.confirmed,
-        completed: placement.phase == TaskPhase::Done,
-        stopping: placement.stop_reason.is_some(),
-        in_phase_s: now - placement.phase_since,
-    })
-}
--- a/tests/autoscaling.rs
+++ b/tests/autoscaling.rs
@@ -248,6 +248,7 @@
             cpus: 4.0 - used_cpus,
             gpus: 0.0,
             mem_gb: 16.0,
+            ..Resources::default()
         },
         idle_s: if used_cpus > 0.0 { 0.0 } else { 100.0 },
         age_s: 200.0,
@@ -287,6 +288,7 @@
             cpus: 4.0 - used_cpus,
             gpus: 0.0,
             mem_gb: 16.0,
+            ..Resources::default()
         },
         idle_s: 0.0,
         age_s: 200.0,
--- a/tests/control_plane/main.rs
+++ b/tests/control_plane/main.rs
@@ -7,6 +7,7 @@
 mod concurrent_faults;
 mod epochs;
 mod failing_tasks;
+mod full_machines;
 mod gangs;
 mod incremental_reports;
 mod many_small_jobs;
--- a/tests/control_plane/versions.rs
+++ b/tests/control_plane/versions.rs
@@ -439,11 +439,13 @@
         cpus: 6.0,
         gpus: 0.0,
         mem_gb: 1.0,
+        ..Resources::default()
     };
     report.machines[0].preemptible_low = Resources {
         cpus: 4.0,
         gpus: 0.0,
         mem_gb: 1.0,
+        ..Resources::default()
     };
     let id = report.machines[0].id.to_string();
     let read = as_read_by_production(PeerMessage::ShardReport(report));
--- a/tests/placement_model.rs
+++ b/tests/placement_model.rs
@@ -7,6 +7,7 @@
 };
 use finchwood::shard::MachineStatus;
 use finchwood::wire::{JobKind, JobSpec, Priority, Resources};
+use finchwood_types::message_size::LIST_BYTES;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -187,6 +188,7 @@
                     cpus: f64::from(machine.free[0]) / 2.0,
                     gpus: f64::from(machine.free[1]),
                     mem_gb: f64::from(machine.free[2]),
+                    report_bytes: LIST_BYTES as f64,
                 },
                 image_cached: machine.image_cached,
                 job_tasks_in_zone: machine.job_tasks_in_zone,
@@ -227,6 +229,7 @@
             cpus: f64::from(machine.free[0]) / 2.0,
             gpus: f64::from(machine.free[1]),
             mem_gb: f64::from(machine.free[2]),
+            report_bytes: LIST_BYTES as f64,
         },
         preemptible: Resources::default(),
         preemptible_low: Resources::default(),
--- a/tests/wire_format_peers.rs
+++ b/tests/wire_format_peers.rs
@@ -36,6 +36,7 @@
         cpus,
         gpus: 1.0,
         mem_gb: 16.5,
+        ..Resources::default()
     }
 }
 
