--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,8 +2,8 @@
 //! drain or transfer.
 
 use super::{
-    AssignedTask, JobAssignment, Orders, RemovalReason, Shard, TaskPhase, TaskStopReason,
-    ZoneAllowances,
+    AssignedTask, JobAssignment, Orders, RemovalReason, RemovedTask, Shard, TaskPhase,
+    TaskStopReason, ZoneAllowances,
 };
 use crate::clock::Seconds;
 use crate::store::cache::StoreCache;
@@ -61,8 +61,18 @@
                     %task,
                     earlier_attempt = earlier.attempt,
                     attempt,
-                    "ignoring a new assignment of a task that is already assigned"
+                    "rejecting a new assignment of a task that is already assigned"
                 );
+                // Guard: without this, the leader would repeat the assignment forever, since it
+                // is not newer than the highest one any more.
+                self.removed_tasks.push(RemovedTask {
+                    task,
+                    attempt,
+                    reason: RemovalReason::Rejected,
+                    assignment,
+                    machine: None,
+                    seq: self.report_seq + 1,
+                });
                 continue;
             }
             let avoid = job.avoid.clone();
--- a/tests/control_plane/stale_heartbeats.rs
+++ b/tests/control_plane/stale_heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats that are late, repeated or relayed prove less than new ones that arrive directly
 //! from their machine.
 
-use crate::builders::TIMING;
+use crate::builders::*;
 use crate::one_machine::{cache_with, heartbeat, reconciled_shard};
 use finchwood::cluster::membership::token;
 use finchwood::shard::{HeartbeatReply, Shard};
@@ -118,3 +118,38 @@
     shard.expire_leases(1.0 + 20.5);
     assert_eq!(shard.next_report(&cache, 21.5).removed.len(), 1);
 }
+
+/// Guards against a task that never starts: a late report has brought its earlier attempt back, so
+/// that its shard ignored a new assignment, which the leader then repeated forever (soak, seed 129).
+#[test]
+fn an_assignment_of_a_task_that_came_back_is_rejected_and_may_follow_under_a_new_number() {
+    let job = job_spec("wk-1", 1, |_| {});
+    let cache = store_cache(1, &[&job]);
+    let mut shard = new_shard(&cache);
+    let token = reconcile_machine(&mut shard, &cache, 1, 0.2);
+    let first = EPOCH << 24 | 1;
+    let running = [("wk-1/0", first, TaskState::Running, None)];
+    accepted(shard.apply_heartbeat(
+        &heartbeat_from(1, 1, 5, token, &running),
+        false,
+        &cache,
+        0.5,
+    ));
+    let second = EPOCH << 24 | 2;
+    shard.apply_orders(&orders(1, assignments("wk-1", &[(0, second)])), &cache, 0.6);
+    let report = shard.next_report(&cache, 0.7);
+    let rejected: Vec<u64> = report
+        .removed
+        .iter()
+        .map(|removed| removed.assignment)
+        .collect();
+    assert_eq!(rejected, [second], "the leader has to learn of it");
+    // The earlier attempt ends with its worker's session. A late copy changes nothing.
+    accepted(shard.apply_heartbeat(&heartbeat_from(1, 2, 1, token, &[]), false, &cache, 0.8));
+    shard.apply_orders(&orders(2, assignments("wk-1", &[(0, second)])), &cache, 0.9);
+    assert!(shard.next_report(&cache, 1.0).assigned.is_empty());
+    let third = EPOCH << 24 | 3;
+    shard.apply_orders(&orders(3, assignments("wk-1", &[(0, third)])), &cache, 1.1);
+    let report = shard.next_report(&cache, 1.2);
+    assert_eq!(report.assigned.len(), 1, "the task can be assigned anew");
+}
--- a/tests/interleavings/main.rs
+++ b/tests/interleavings/main.rs
@@ -7,6 +7,7 @@
 mod hash_range_transfers;
 #[path = "../common/simulated_cluster/mod.rs"]
 mod simulated_cluster;
+mod soak;
 mod tasks_run_at_most_once;
 
 /// When the faults end, in simulated seconds.
