A late report of a deleted machine brings nothing back

Cause: a report under a token of the owner's present epoch counted as new. A shard that removed a machine forgot every token that it had issued to it; a new record of the machine began with counter 0 again, so that a report with token(epoch, 0), held back by the network until after the machine's deletion, confirmed the machine and assigned its tasks again. The leader of that epoch ignored them, knowing a later attempt. The next leader took them for the only copies, and their second removal for proof that the tasks ran nowhere. Class: an action on stale knowledge; the removal of a record erased what was known.

The simulated cluster could not bring it about: its network dropped nothing late by the order of sending, and every leader knew at once which machines were deleted.

Fix: a shard never issues a counter twice in an epoch. A new record begins above all counters of records that were removed since the epoch began, and only a token issued for the present record proves that the worker is alive or what is on the machine. The order of removal and reports no longer matters. A token that can't be raised confirms no machine. Cost: none for a machine that is not removed.

Found on the way: a machine that was dropped because it never proved to be alive was not reported to the leader as removed.

--- a/src/shard/heartbeats.rs
+++ b/src/shard/heartbeats.rs
@@ -5,7 +5,7 @@
 use super::{HeartbeatReply, Shard};
 use crate::clock::Seconds;
 use crate::cluster::failure_detection::ZoneContactSpan;
-use crate::cluster::membership::{token, token_epoch};
+use crate::cluster::membership::token_epoch;
 use crate::store::cache::StoreCache;
 use crate::wire::{Heartbeat, MachineId, Task};
 use finchwood_reconciliation::machine_state::MachineEvent;
@@ -71,6 +71,7 @@
     ) -> &mut Machine {
         let source_renews_until = self.source_renews_until();
         let id = heartbeat.machine.clone();
+        let first_counter = self.issued_tokens.first_counter(&id);
         let machine = self.machines.entry(id).or_insert_with(|| {
             let identity = MachineIdentity {
                 machine_type: heartbeat.machine_type.clone(),
@@ -80,7 +81,7 @@
             };
             Machine {
                 source_renews_until,
-                ..Machine::new(identity, now)
+                ..Machine::new(identity, first_counter, now)
             }
         });
         if let Some(registered) = cache.registry.get(&heartbeat.machine) {
@@ -127,7 +128,7 @@
         let was_reconciled = machine.is_reconciled();
         let event = MachineEvent::Heartbeat {
             first_contact: machine.session.last_heartbeat_at.is_none(),
-            owner_token_seen: heartbeat.token >= token(self.epoch, machine.token.counter),
+            owner_token_seen: machine.is_present_token_seen(heartbeat, self.epoch),
         };
         if machine.proves_alive(heartbeat, self.epoch) {
             self.report_due |= machine.record_alive(now);
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -116,12 +116,25 @@
 pub(super) struct TokenAcknowledgement {
     /// The counter of the token, within this shard's epoch.
     pub(super) counter: u64,
+    /// The first counter that was issued for this record of the machine.
+    pub(super) first_counter: u64,
     /// The first reply whose token the worker has not acknowledged.
     pub(super) unacknowledged: Option<UnacknowledgedToken>,
     /// When the token was last raised only to check that replies reach the worker.
     pub(super) last_probe_at: Option<Seconds>,
 }
 
+impl TokenAcknowledgement {
+    /// Returns the state of a token that begins with this counter.
+    pub(super) fn starting_at(first_counter: u64) -> TokenAcknowledgement {
+        TokenAcknowledgement {
+            counter: first_counter,
+            first_counter,
+            ..TokenAcknowledgement::default()
+        }
+    }
+}
+
 /// The state of the direct commands to a machine's worker.
 #[derive(Debug, Clone, Default)]
 pub(super) struct CommandChannel {
@@ -233,15 +246,16 @@
 }
 
 impl Machine {
-    /// Returns a machine, added at `now`, of which only the identity is known.
-    pub(super) fn new(identity: MachineIdentity, now: Seconds) -> Machine {
+    /// Returns a machine, added at `now`, of which only the identity is known. Its tokens begin
+    /// with `first_counter`.
+    pub(super) fn new(identity: MachineIdentity, first_counter: u64, now: Seconds) -> Machine {
         Machine {
             identity,
             registered: false,
             used: false,
             state: MachineState::NoHeartbeat,
             session: WorkerSession::default(),
-            token: TokenAcknowledgement::default(),
+            token: TokenAcknowledgement::starting_at(first_counter),
             commands: CommandChannel::default(),
             contents: MachineContents::empty(now),
             known_since: now,
@@ -437,15 +451,28 @@
         is_new
     }
 
+    /// Whether a heartbeat carries a token of this epoch that was issued for this record of the
+    /// machine. A token of an earlier record may be of any age.
+    pub(super) fn has_issued(&self, reported: u64, epoch: u64) -> bool {
+        token_epoch(reported) == epoch && token_counter(reported) >= self.token.first_counter
+    }
+
+    /// Whether a heartbeat shows that its worker has seen the present token, or a higher one.
+    pub(super) fn is_present_token_seen(&self, heartbeat: &Heartbeat, epoch: u64) -> bool {
+        // Guard: a token that can't be raised any more may be that of an earlier record.
+        !self.token_exhausted() && heartbeat.token >= token(epoch, self.token.counter)
+    }
+
     /// Whether a heartbeat proves that its worker is alive. A late copy of an old heartbeat
     /// may arrive long after its machine was deleted, at a controller that never saw the
-    /// original. A worker is certainly alive if it has seen a token of this epoch. It counts as
+    /// original. A worker is certainly alive if it has seen a token that was issued for this
+    /// record of its machine. It counts as
     /// alive if its machine is not marked as in use, as it then hardly sent an earlier heartbeat;
     /// a machine that is wrongly taken for alive gets no task before its worker has acknowledged a
     /// token. Any other worker is probed, and its response is the proof.
     pub(super) fn proves_alive(&self, heartbeat: &Heartbeat, epoch: u64) -> bool {
         let is_new = self.registered && !self.used;
-        is_new || token_epoch(heartbeat.token) == epoch
+        is_new || self.has_issued(heartbeat.token, epoch)
     }
 
     /// Raises the token by one if it is not above `floor`.
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod assigned_tasks;
 mod commands;
 mod heartbeats;
+mod issued_tokens;
 mod leases;
 mod machine;
 mod message_space;
@@ -37,6 +38,7 @@
 use crate::wire::{JobId, MachineId, Task};
 use assigned_tasks::{AssignedTask, AssignedTasks, Placement, TaskStopReason};
 use finchwood_reconciliation::restart_record::RestartRecord;
+use issued_tokens::IssuedTokens;
 use machine::Machine;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -109,6 +111,8 @@
     /// Whether the shard kept its state when it entered the epoch.
     state_retained: bool,
     machines: BTreeMap<MachineId, Machine>,
+    /// The tokens of machines that were removed in this epoch.
+    issued_tokens: IssuedTokens,
     assigned: AssignedTasks,
     /// Removed tasks that the leader has not acknowledged as removed yet.
     removed_tasks: Vec<RemovedTask>,
@@ -155,6 +159,7 @@
             incarnation: 0,
             state_retained: false,
             machines: BTreeMap::new(),
+            issued_tokens: IssuedTokens::default(),
             assigned: AssignedTasks::default(),
             removed_tasks: Vec::new(),
             released_tasks: Vec::new(),
@@ -223,6 +228,7 @@
         self.last_reported.clear();
         self.released_tasks.clear();
         self.removed_machines.clear();
+        self.issued_tokens = IssuedTokens::default();
         self.machines.retain(|id, _| owns(id));
         let machines = &self.machines;
         self.assigned.retain(|_, assigned| {
--- a/src/shard/registration.rs
+++ b/src/shard/registration.rs
@@ -14,6 +14,7 @@
         if self.transfers.is_awaiting_state(id) {
             return;
         }
+        let first_counter = self.issued_tokens.first_counter(id);
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(machine = %id, in_use = record.in_use, "registered machine added");
             let identity = MachineIdentity {
@@ -24,7 +25,7 @@
             };
             Machine {
                 state: MachineState::initial(record.in_use),
-                ..Machine::new(identity, now)
+                ..Machine::new(identity, first_counter, now)
             }
         });
         machine.registered = true;
@@ -39,15 +40,24 @@
     /// and its tasks with it.
     pub fn unregister_machine(&mut self, id: &MachineId) {
         self.transfers.stop_awaiting(id);
-        if self.machines.remove(id).is_some() {
-            self.last_reported.remove(id);
+        if self.remove_machine(id) {
             self.remove_tasks_of_ended_sessions(id, u64::MAX);
-            self.removed_machines
-                .push((id.clone(), self.report_seq + 1));
         }
         self.report_due = true;
     }
 
+    /// Removes the record of a machine, and tells the leader so. Returns whether there was one.
+    pub(super) fn remove_machine(&mut self, id: &MachineId) -> bool {
+        let Some(machine) = self.machines.remove(id) else {
+            return false;
+        };
+        self.issued_tokens.record_removed(id, machine.token.counter);
+        self.last_reported.remove(id);
+        self.removed_machines
+            .push((id.clone(), self.report_seq + 1));
+        true
+    }
+
     /// Returns the machines of this shard that are in the machine registry.
     pub fn registered_machines(&self) -> Vec<MachineId> {
         self.machines
--- a/src/shard/removal.rs
+++ b/src/shard/removal.rs
@@ -2,6 +2,7 @@
 //! machines, are committed as finished, or are on a machine that belongs to another shard
 //! now.
 
+use super::machine::Machine;
 use super::{ReleasedTask, RemovalReason, RemovedTask, Shard, TaskPhase, TaskStopReason};
 use crate::clock::Seconds;
 use crate::store::cache::StoreCache;
@@ -122,11 +123,15 @@
         // of a lease that it is alive, was added by a late copy of a heartbeat, or its worker's
         // lease has expired.
         let (lease_s, epoch_started_at) = (self.timing.lease_s, self.epoch_started_at);
-        self.machines.retain(|_, machine| {
-            machine.registered
-                || machine.session.last_heartbeat_at.is_some()
-                || now - machine.known_since.max(epoch_started_at) < lease_s
-        });
+        let is_over = |machine: &Machine| {
+            !machine.registered
+                && machine.session.last_heartbeat_at.is_none()
+                && now - machine.known_since.max(epoch_started_at) >= lease_s
+        };
+        let over = self.machines.iter().filter(|(_, machine)| is_over(machine));
+        for id in over.map(|(id, _)| id.clone()).collect::<Vec<MachineId>>() {
+            self.remove_machine(&id);
+        }
         let assigned = &self.assigned;
         self.highest_assignments.retain(|task, _| {
             assigned.contains(task) || cache.jobs.get(&task.job).is_none_or(|job| job.is_live())
--- a/src/shard/transfer.rs
+++ b/src/shard/transfer.rs
@@ -7,14 +7,13 @@
 //! one of them, however late it arrives.
 
 use super::machine::{
-    CommandChannel, Machine, MachineContents, MachineIdentity, ObservedTask, TokenAcknowledgement,
-    WorkerSession,
+    CommandChannel, Machine, MachineContents, MachineIdentity, ObservedTask, WorkerSession,
 };
 use super::message_space::MessageSpace;
 use super::transfer_conversions::{task_transfer_state, transferred_placement};
 use super::{AssignedTask, HeartbeatReply, RemovalReason, Shard, TaskStopReason};
 use crate::clock::{self, Seconds};
-use crate::cluster::membership::{self, token, token_epoch};
+use crate::cluster::membership::{self, token};
 use crate::store::cache::StoreCache;
 use crate::wire::{Command, Heartbeat, MachineId, Task, TaskState};
 use finchwood_sharding::hash_position::position;
@@ -220,7 +219,7 @@
         machine.session.last_reply_at = Some(now);
         // Otherwise the machine would count as silent for as long as the shard map can't be
         // written.
-        if token_epoch(heartbeat.token) == epoch {
+        if machine.has_issued(heartbeat.token, epoch) {
             machine.session.last_heartbeat_at = Some(now);
         }
         let cancelled = |task: &str| {
@@ -281,10 +280,7 @@
         for task in self.assigned.task_ids_on(id) {
             self.release_task(&task);
         }
-        self.machines.remove(id);
-        self.last_reported.remove(id);
-        self.removed_machines
-            .push((id.clone(), self.report_seq + 1));
+        self.remove_machine(id);
     }
 
     /// Takes over a range with the source's state of its machines. A machine without such
@@ -380,6 +376,8 @@
             .reported_tasks
             .iter()
             .map(|reported| (reported.task.clone(), ObservedTask::from(reported)));
+        let unissued = self.issued_tokens.first_counter(&state.id);
+        let first_counter = unissued.max(state.token_counter + 1);
         let identity = MachineIdentity {
             machine_type: state.machine_type.clone(),
             zone: state.zone.clone(),
@@ -398,10 +396,6 @@
                 last_heartbeat_at: state.last_heartbeat_ago_s.map(|ago| now - ago),
                 last_reply_at: None,
             },
-            token: TokenAcknowledgement {
-                counter: state.token_counter + 1,
-                ..TokenAcknowledgement::default()
-            },
             commands: CommandChannel {
                 probe_due: true,
                 ..CommandChannel::default()
@@ -413,7 +407,7 @@
                 ..MachineContents::empty(now)
             },
             reclaim_at: state.reclaimed_in_s.map(|in_s| now + in_s),
-            ..Machine::new(identity, now)
+            ..Machine::new(identity, first_counter, now)
         };
         self.machines.insert(state.id.clone(), machine);
         for task in &state.assigned_tasks {
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -4,7 +4,7 @@
 use super::network::{DirectCommandPacket, Packet};
 use super::state_store::ConditionalFinishWrite;
 use super::{
-    membership::controller_index, settings, Scheduled, SimulatedCluster, CONTROLLERS,
+    membership::controller_index, settings, FaultPlan, Scheduled, SimulatedCluster, CONTROLLERS,
     MEMBER_LEASE_S, WORKER_LEASE_S,
 };
 use finchwood::clock::Moment;
@@ -21,6 +21,9 @@
 
 /// The interval between heartbeats that the shards assume.
 const REPORT_S: f64 = 3.0;
+/// With the fault plan [`FaultPlan::HeartbeatsOutliveMachines`], a machine that leaves direct commands
+/// unanswered is deleted after this many report intervals without a heartbeat.
+const MAX_UNANSWERED_REPORTS: f64 = 2.0;
 /// The size limit of stored values that the caches assume.
 const MAX_VALUE_KB: f64 = 8.0;
 /// The limit on commits of finished tasks per round. Commits that end a job are not limited.
@@ -49,6 +52,8 @@
     pub(super) transfers: Transfers,
     /// Until when it waits for the outcome of its last write of each registry page.
     pub(super) page_writes: HashMap<Arc<str>, f64>,
+    /// The machines whose deletion the cloud has confirmed to it.
+    pub(super) known_deleted: HashSet<String>,
     /// When a write of the shard map was refused, until a later read of the store shows the
     /// reason; `None` otherwise.
     pub(super) shard_map_refused_at: Option<f64>,
@@ -86,6 +91,7 @@
             leader: Leader::new(&settings()),
             transfers: Transfers::default(),
             page_writes: HashMap::new(),
+            known_deleted: HashSet::new(),
             shard_map_refused_at: None,
         }
     }
@@ -253,6 +259,7 @@
         now: f64,
         deleted: &HashSet<String>,
         reaches_store: bool,
+        max_unanswered_s: f64,
         evict_after_s: f64,
     ) -> LeaderDecisions {
         let mut decisions = LeaderDecisions::default();
@@ -267,7 +274,8 @@
                 self.leader
                     .record_commit_outcome(&finish.job, now, now + 1.0);
             }
-            decisions.machines_to_replace = self.machines_to_replace(now, evict_after_s);
+            decisions.machines_to_replace =
+                self.machines_to_replace(now, max_unanswered_s, evict_after_s);
         }
         decisions.orders = CONTROLLERS
             .iter()
@@ -281,12 +289,23 @@
 
     /// Returns at most one machine that ignores commands or is silent, and all machines on
     /// which cancelled tasks could run for too long.
-    fn machines_to_replace(&self, now: f64, evict_after_s: f64) -> Vec<String> {
+    fn machines_to_replace(
+        &self,
+        now: f64,
+        max_unanswered_s: f64,
+        evict_after_s: f64,
+    ) -> Vec<String> {
         let mut machines: Vec<String> = self
             .leader
             .machines_at(now)
-            .filter(|machine| machine.registered)
-            .filter(|machine| machine.ignores_commands || machine.silent_s > WORKER_LEASE_S)
+            .filter(|machine| !self.known_deleted.contains(&*machine.id))
+            .filter(|machine| {
+                let max_silence_s = match machine.unanswered_s {
+                    Some(_) => max_unanswered_s,
+                    None => WORKER_LEASE_S,
+                };
+                machine.ignores_commands || machine.silent_s > max_silence_s
+            })
             .map(|machine| machine.id.to_string())
             .take(1)
             .collect();
@@ -324,12 +343,22 @@
         if self.uses_shard_map && leads {
             self.transfer_round(index, reaches_store);
         }
-        let deleted = self.deleted_machines();
+        let deleted = self.controllers[index].known_deleted.clone();
         let evict_after_s = self.settings.evict_after_s();
+        let max_unanswered_s = match self.fault_plan {
+            FaultPlan::HeartbeatsOutliveMachines => REPORT_S * MAX_UNANSWERED_REPORTS,
+            FaultPlan::All | FaultPlan::NewMachinesMeetNewEpochs => WORKER_LEASE_S,
+        };
         let controller = &mut self.controllers[index];
         let (commands, report) = controller.shard_round(now);
         let decisions = if leads {
-            controller.leader_round(now, &deleted, reaches_store, evict_after_s)
+            controller.leader_round(
+                now,
+                &deleted,
+                reaches_store,
+                max_unanswered_s,
+                evict_after_s,
+            )
         } else {
             LeaderDecisions::default()
         };
@@ -340,7 +369,7 @@
             self.send_direct_command(index, command);
         }
         for machine in decisions.machines_to_replace {
-            self.replace_machine(&machine);
+            self.replace_machine(&machine, index);
         }
         for finish in decisions.finishes {
             self.send_finish(index, finish);
@@ -357,14 +386,6 @@
         }
     }
 
-    /// Returns the ids of all deleted machines. In the program only the leader that deleted a
-    /// machine learns at once that it no longer exists. Here every leader does, which is a
-    /// simplification.
-    fn deleted_machines(&self) -> HashSet<String> {
-        let deleted = self.workers.iter().filter(|worker| !worker.alive);
-        deleted.map(|worker| worker.id.clone()).collect()
-    }
-
     /// Sends a direct command to the worker of its machine. Some commands time out for the
     /// sender although they may still be carried out.
     fn send_direct_command(&mut self, index: usize, command: DirectCommand) {
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -1,6 +1,7 @@
 //! Random faults of workers, controllers and the key-value store, and the recovery from them.
 
 use super::controllers::Controller;
+use super::network::HEARTBEAT_TIMEOUT_S;
 use super::{SimulatedCluster, CONTROLLERS, JOB_NUMBERS, MEMBER_LEASE_S, WORKER_LEASE_S};
 use rand::Rng;
 
@@ -9,6 +10,13 @@
 /// The number of latest machines from which a fault of a single worker selects one.
 const LATEST_MACHINES: usize = 5;
 
+/// The number of controllers that the plan [`FaultPlan::HeartbeatsOutliveMachines`] keeps: the one
+/// that remains then owns the machines that were brought back and those that run their tasks.
+const CONTROLLERS_KEPT: usize = 2;
+
+/// The longest time for which the network holds back heartbeats.
+const LONGEST_HOLD_S: f64 = WORKER_LEASE_S / 2.0;
+
 /// How many machines the focused fault plan takes away together.
 const MACHINES_TAKEN: usize = 3;
 
@@ -19,6 +27,17 @@
     All,
     /// Controllers that return while machines come up and the leader's knowledge lags.
     NewMachinesMeetNewEpochs,
+    /// Heartbeats that the network holds back until after their machines were deleted, and
+    /// leaders that end soon after these heartbeats have arrived.
+    HeartbeatsOutliveMachines,
+}
+
+/// Machines whose heartbeats the network holds back, and what happens meanwhile and afterwards.
+#[derive(Clone)]
+pub(super) struct HeldHeartbeats {
+    machines: Vec<String>,
+    deleted_at: f64,
+    leader_stops_at: f64,
 }
 
 /// A failed controller and the time at which it recovers.
@@ -45,6 +64,9 @@
             }
             return;
         }
+        if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
+            return self.hold_heartbeats_and_change_leader();
+        }
         if self.rng.gen_bool(0.003) {
             self.drop_incoming_of_one_worker();
         }
@@ -91,6 +113,9 @@
     /// Returns the recovery of another stopped controller, soon after the last one; `None` if
     /// all run.
     fn next_recovery(&mut self) -> Option<PendingRecovery> {
+        if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
+            return None;
+        }
         let controller = self
             .controllers
             .iter()
@@ -111,7 +136,12 @@
     fn take_one_machine(&mut self) {
         let index = self.latest_machine();
         let id = self.workers[index].id.clone();
-        self.replace_machine(&id);
+        self.replace_machine(&id, self.leader_index());
+    }
+
+    /// Returns the index of the controller that leads the current epoch.
+    fn leader_index(&self) -> usize {
+        super::membership::controller_index(&self.epoch.leader).unwrap_or(0)
     }
 
     /// Drops all messages to one worker, for less or more time than its lease lasts.
@@ -158,7 +188,7 @@
     /// cancellation of many jobs through the others. An outage of the store may follow the
     /// cancellation and last longer than a cancelled task may continue to run.
     fn refuse_one_controller(&mut self) {
-        let leader = super::membership::controller_index(&self.epoch.leader).unwrap_or(0);
+        let leader = self.leader_index();
         let index = if self.rng.gen_bool(0.7) {
             leader
         } else {
@@ -181,8 +211,7 @@
     }
 
     fn delay_reading_of_leader(&mut self) {
-        let leader = super::membership::controller_index(&self.epoch.leader).unwrap_or(0);
-        self.delay_reading(leader);
+        self.delay_reading(self.leader_index());
     }
 
     fn delay_reading(&mut self, index: usize) {
@@ -244,7 +273,7 @@
     /// Stops a controller that does not lead, and takes machines away. About when the controller
     /// recovers, new machines come up, for which tasks are waiting.
     fn stop_a_follower(&mut self) {
-        let leader = super::membership::controller_index(&self.epoch.leader).unwrap_or(0);
+        let leader = self.leader_index();
         let index = (leader + self.rng.gen_range(1..CONTROLLERS.len())) % CONTROLLERS.len();
         self.stop_controller(index);
         let recovers_at = self.now + self.rng.gen_range(3.0..8.0);
@@ -260,6 +289,64 @@
         }
     }
 
+    /// Holds back the heartbeats of some machines, deletes these machines meanwhile, and stops the
+    /// leader after the heartbeats have arrived.
+    fn hold_heartbeats_and_change_leader(&mut self) {
+        for index in CONTROLLERS_KEPT..CONTROLLERS.len() {
+            if self.controllers[index].alive {
+                self.stop_controller(index);
+            }
+        }
+        let Some(held) = self.held_heartbeats.clone() else {
+            if self.rng.gen_bool(0.05) {
+                self.hold_heartbeats();
+            }
+            return;
+        };
+        if self.now >= held.deleted_at {
+            for id in &held.machines {
+                self.replace_machine(id, self.leader_index());
+            }
+        }
+        if self.now >= held.leader_stops_at {
+            self.held_heartbeats = None;
+            self.stop_leader_and_delay_its_workers();
+        }
+    }
+
+    /// Stops the leader, as if it hung: its workers wait for its answers for a while before they
+    /// report elsewhere.
+    fn stop_leader_and_delay_its_workers(&mut self) {
+        let leader = self.leader_index();
+        self.stop_controller(leader);
+        self.recover_within_seconds(leader);
+        let now = self.now;
+        for worker in &mut self.workers {
+            if worker.answered_by == Some(leader) {
+                worker.next_heartbeat_at = now + self.rng.gen_range(HEARTBEAT_TIMEOUT_S..10.0);
+            }
+        }
+    }
+
+    /// Holds back the heartbeats of up to three of the latest machines, which no command reaches
+    /// meanwhile.
+    fn hold_heartbeats(&mut self) {
+        let arrive_at = self.now + self.rng.gen_range(3.0..LONGEST_HOLD_S);
+        let mut machines = Vec::new();
+        for _ in 0..self.rng.gen_range(1..=MACHINES_TAKEN) {
+            let index = self.latest_machine();
+            let worker = &mut self.workers[index];
+            worker.heartbeats_held_until = arrive_at;
+            worker.drops_incoming_until = arrive_at;
+            machines.push(worker.id.clone());
+        }
+        self.held_heartbeats = Some(HeldHeartbeats {
+            machines,
+            deleted_at: self.rng.gen_range(self.now + 1.0..arrive_at),
+            leader_stops_at: arrive_at + self.rng.gen_range(HEARTBEAT_TIMEOUT_S..WORKER_LEASE_S),
+        });
+    }
+
     /// Plans the recovery of a failed controller within 15 s.
     fn recover_within_seconds(&mut self, controller: usize) {
         let at = self.now + self.rng.gen_range(0.5..15.0);
@@ -287,7 +374,7 @@
                 self.take_one_machine();
                 self.delay_reading_of_one_controller();
             }
-            FaultPlan::All => {}
+            FaultPlan::All | FaultPlan::HeartbeatsOutliveMachines => {}
             FaultPlan::NewMachinesMeetNewEpochs => self.delay_reading_of_leader(),
         }
         let controller = &mut self.controllers[index];
@@ -304,6 +391,7 @@
     /// Ends all faults and cancels all services, which would never end by themselves.
     pub(crate) fn end_faults(&mut self) {
         self.faults_ended = true;
+        self.held_heartbeats = None;
         self.store_outage_until = 0.0;
         for index in 0..CONTROLLERS.len() {
             self.controllers[index].partitioned_until = 0.0;
@@ -316,6 +404,7 @@
         for worker in &mut self.workers {
             worker.drops_incoming_until = 0.0;
             worker.drops_outgoing_until = 0.0;
+            worker.heartbeats_held_until = 0.0;
             worker.paused_until = 0.0;
         }
         for number in (0..JOB_NUMBERS).filter(|number| number % 3 == 0) {
--- a/tests/common/simulated_cluster/mod.rs
+++ b/tests/common/simulated_cluster/mod.rs
@@ -22,7 +22,7 @@
 
 use controllers::Controller;
 pub(crate) use faults::FaultPlan;
-use faults::PendingRecovery;
+use faults::{HeldHeartbeats, PendingRecovery};
 use finchwood::config::settings::Settings;
 use finchwood::store::records::Epoch;
 use finchwood::store::KeyChange;
@@ -102,6 +102,8 @@
     mass_cancellation_at: Option<f64>,
     /// The controller that is to recover next; `None` while none has failed.
     recovery: Option<PendingRecovery>,
+    /// The machines whose heartbeats are held back, by the fault plan of that name.
+    held_heartbeats: Option<HeldHeartbeats>,
     /// Whether the faults and the submissions have ended for good.
     faults_ended: bool,
     statistics: Statistics,
@@ -144,6 +146,7 @@
             store_outage_until: 0.0,
             mass_cancellation_at: None,
             recovery: None,
+            held_heartbeats: None,
             faults_ended: false,
             statistics: Statistics::default(),
         };
--- a/tests/common/simulated_cluster/network.rs
+++ b/tests/common/simulated_cluster/network.rs
@@ -3,7 +3,7 @@
 
 use super::membership::controller_index;
 use super::{take_due, Scheduled, SimulatedCluster, CONTROLLERS};
-use finchwood::cluster::membership;
+use finchwood::cluster::membership::{self, token_epoch};
 use finchwood::shard::{HeartbeatReply, Orders, ShardReport};
 use finchwood::wire::{Command, CommandBatch, Heartbeat};
 use rand::Rng;
@@ -12,7 +12,7 @@
 /// How long a controller waits for the response to a direct command.
 const COMMAND_TIMEOUT_S: f64 = 1.5;
 /// How long a worker waits for the response to a heartbeat.
-const HEARTBEAT_TIMEOUT_S: f64 = 4.0;
+pub(super) const HEARTBEAT_TIMEOUT_S: f64 = 4.0;
 /// How long after the end of a pause a worker receives the commands that arrived during it.
 const RESUME_DELAY_S: f64 = 0.05;
 
@@ -90,6 +90,13 @@
 impl SimulatedCluster {
     /// Sends a packet, which may be lost, delayed or repeated.
     pub(super) fn send(&mut self, packet: Packet) {
+        if let Some(due_at) = self.held_back_until(&packet) {
+            self.packets.push(Scheduled {
+                due_at,
+                item: packet,
+            });
+            return;
+        }
         let draw: f64 = self.rng.gen();
         if draw < 0.08 {
             return self.lose(packet);
@@ -106,6 +113,16 @@
         self.deliver_in(delay_s, packet);
     }
 
+    /// Returns until when the network holds a packet back; `None` if it does not.
+    fn held_back_until(&self, packet: &Packet) -> Option<f64> {
+        let Packet::Heartbeat(packet) = packet else {
+            return None;
+        };
+        let worker = self.worker_on(&packet.heartbeat.machine)?;
+        let until = self.workers[worker].heartbeats_held_until;
+        (self.now < until).then_some(until)
+    }
+
     /// Schedules a packet for delivery after `delay_s`.
     fn deliver_in(&mut self, delay_s: f64, packet: Packet) {
         self.packets.push(Scheduled {
@@ -166,6 +183,7 @@
         if self.now < self.workers[worker].drops_outgoing_until || !self.may_act(to) {
             return;
         }
+        let is_deleted = !self.workers[worker].alive;
         let controller = &mut self.controllers[to];
         let Some(epoch) = controller.entered_epoch() else {
             return;
@@ -175,6 +193,9 @@
         if owner.expect("the machine has an owner") != CONTROLLERS[to] {
             return;
         }
+        if is_deleted && token_epoch(heartbeat.token) == epoch.number {
+            self.statistics.heartbeats_of_deleted_machines += 1;
+        }
         let reply =
             controller
                 .shard
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -34,6 +34,9 @@
     pub(crate) deposed_page_writes: u32,
     /// Writes of registry pages that were carried out late.
     pub(crate) late_page_writes: u32,
+    /// Heartbeats under a token of the owner's epoch that arrived after the deletion of their
+    /// machine.
+    pub(crate) heartbeats_of_deleted_machines: u32,
     /// Completed transfers of hash ranges.
     pub(crate) completed_transfers: u64,
 }
@@ -54,6 +57,7 @@
         self.delayed_readings += other.delayed_readings;
         self.deposed_page_writes += other.deposed_page_writes;
         self.late_page_writes += other.late_page_writes;
+        self.heartbeats_of_deleted_machines += other.heartbeats_of_deleted_machines;
         self.completed_transfers += other.completed_transfers;
     }
 }
--- a/tests/common/simulated_cluster/workers.rs
+++ b/tests/common/simulated_cluster/workers.rs
@@ -50,6 +50,9 @@
     pub(super) drops_incoming_until: f64,
     /// The time before which its heartbeats are lost, though commands reach it.
     pub(super) drops_outgoing_until: f64,
+    /// The time before which the network holds its heartbeats back. They are delivered then, in
+    /// order, even if the machine was deleted meanwhile.
+    pub(super) heartbeats_held_until: f64,
     /// The time before which it is paused, that is, hangs. Commands that arrive during the
     /// pause are delivered after it.
     pub(super) paused_until: f64,
@@ -232,8 +235,12 @@
     }
 
     /// Deletes a machine and adds another in its place, as the leader does through the cloud.
-    /// The machine stops at once; controllers read the change from the store a little later.
-    pub(super) fn replace_machine(&mut self, id: &str) {
+    /// The machine stops at once; only the controller `informed` learns of it at once, the others
+    /// read the change from the store a little later. The cloud also confirms the deletion of a
+    /// machine that no longer exists.
+    pub(super) fn replace_machine(&mut self, id: &str, informed: usize) {
+        self.controllers[informed].known_deleted.insert(id.into());
+        self.remove_from_registry(id);
         let found = self
             .workers
             .iter_mut()
@@ -244,7 +251,6 @@
         worker.alive = false;
         worker.tasks.clear();
         self.statistics.replaced_machines += 1;
-        self.remove_from_registry(id);
         self.rent_machine();
     }
 
@@ -258,10 +264,15 @@
     pub(super) fn worker_round(&mut self, index: usize) {
         let now = self.now;
         let worker = &mut self.workers[index];
-        if !worker.alive || now < worker.paused_until {
+        if !worker.alive {
             return;
         }
+        // A worker that hangs executes no task, and kills all before anything else when it goes on
+        // after its lease: they count as killed when the lease expires.
         worker.expire_lease(now);
+        if now < worker.paused_until {
+            return;
+        }
         if self.rng.gen_bool(0.05) {
             self.complete_array_task(index);
         }
--- a/tests/control_plane/main.rs
+++ b/tests/control_plane/main.rs
@@ -5,6 +5,7 @@
 mod builders;
 mod cold_restart;
 mod concurrent_faults;
+mod deleted_machines;
 mod epochs;
 mod failing_tasks;
 mod full_machines;
--- a/tests/interleavings/soak.rs
+++ b/tests/interleavings/soak.rs
@@ -16,13 +16,18 @@
 const ALL_ENDED_BY_S: f64 = 1_000.0;
 
 /// A fault plan, and whether all controllers use the shard map.
-const PLANS: [(&str, FaultPlan, bool); 3] = [
+const PLANS: [(&str, FaultPlan, bool); 4] = [
     ("all faults", FaultPlan::All, false),
     (
         "new machines meet new epochs",
         FaultPlan::NewMachinesMeetNewEpochs,
         false,
     ),
+    (
+        "heartbeats outlive machines",
+        FaultPlan::HeartbeatsOutliveMachines,
+        false,
+    ),
     ("transfers of hash ranges", FaultPlan::All, true),
 ];
 
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -116,3 +116,27 @@
         "deposed leaders wrote only {deposed_page_writes} registry pages"
     );
 }
+
+/// Guards against a deleted machine that a late heartbeat brings back, so that its second removal
+/// counts as proof that its task runs nowhere (incident of wk-433692/8).
+#[test]
+fn heartbeats_that_outlive_their_machines_run_no_task_twice() {
+    let mut total = Statistics::default();
+    for seed in 0..FOCUSED_SEEDS {
+        let plan = FaultPlan::HeartbeatsOutliveMachines;
+        let mut cluster = SimulatedCluster::new(seed, false, plan);
+        cluster.run_until(FAULTS_UNTIL_S / 2.0);
+        total += cluster.statistics();
+    }
+    let Statistics {
+        starts,
+        heartbeats_of_deleted_machines,
+        ..
+    } = total;
+    println!("{starts} starts, {heartbeats_of_deleted_machines} late heartbeats");
+    assert!(starts > 1000, "only {starts} tasks were started");
+    assert!(
+        heartbeats_of_deleted_machines > 500,
+        "only {heartbeats_of_deleted_machines} heartbeats outlived their machines"
+    );
+}
