The removal of one copy of a task does not free it while another may run

Cause: a removal proves that one attempt is gone from one machine, and was taken for proof that the task runs nowhere. Class: a check in one path and not in another (an unreconciled task waits for all machines that may run it, one that any shard had listed waited for none), and an absence from a list that counted as proof. - A shard listed one copy of a task and knew of another that it had left alone as a conflict; when the listed one was gone, it reported the task as removed. Which copy was listed depended on which had come first, and the other was told to stop, also if its attempt was the later one. - A leader replaced one shard's listing by another's, and freed the task with the removal of either. - A new leader, which doesn't know which attempt is the latest, freed a task by the removal of any attempt that a shard had listed, while machines were unheard.

The new tests fail without the fix: "the task is assigned again although m-2 has not been heard"; a shard that lists nothing of the copy left; a leader that frees a task by one removal of two.

Fix: - Of several attempts the latest stays, whichever is reported first: a leader assigns an attempt only with proof that all earlier ones have ended. The earlier copy is stopped, directly and in replies. While the start of an earlier attempt may be in flight its assignment stays, so that the start is followed up. - A shard reports the removal of a task only with its last copy, and lists another until then. - The leader keeps the earlier copies that other shards list, recalls them, and takes one for the assignment when the later one is gone. - The removal of an attempt frees the task if it is known to be the latest: assigned in this epoch, or in an earlier one that this leader led without a break, or listed once all machines were reconciled. Otherwise the task is unreconciled and waits, as any other, for the machines that may run it.

Cost: a task of an earlier epoch that is stopped, fails or is lost while a new leader still waits for a machine that may run it, waits too.

--- a/crates/reconciliation/src/verdict.rs
+++ b/crates/reconciliation/src/verdict.rs
@@ -44,6 +44,9 @@
     Same,
     /// It is assigned to this owner, which has not placed it on a machine yet.
     Unplaced,
+    /// It is on another machine, or on this one, under an attempt that was assigned earlier than
+    /// the reported one.
+    EarlierAttempt,
     /// It is placed on another machine, or under another attempt on this one.
     Elsewhere,
 }
@@ -144,10 +147,14 @@
         (KnownAssignment::Unplaced, None | Some(TaskEnd::Completed)) => {
             Verdict::Adopt(AdoptReason::FoundWhileUnplaced)
         }
+        // A leader assigns an attempt only once all earlier ones are proven to have ended, so
+        // that the later one stays.
+        (KnownAssignment::EarlierAttempt, None) => decide_running(reported.attempt, stored, epoch),
         (KnownAssignment::Elsewhere, None) => Verdict::Conflict(ConflictReason::RunsTwice),
-        (KnownAssignment::Elsewhere, Some(TaskEnd::Completed)) if !stored.needs_no_run() => {
-            Verdict::Conflict(ConflictReason::CompletedElsewhere)
-        }
+        (
+            KnownAssignment::EarlierAttempt | KnownAssignment::Elsewhere,
+            Some(TaskEnd::Completed),
+        ) if !stored.needs_no_run() => Verdict::Conflict(ConflictReason::CompletedElsewhere),
         (KnownAssignment::Unassigned, None) => decide_running(reported.attempt, stored, epoch),
         (KnownAssignment::Unassigned, Some(TaskEnd::Completed)) if !stored.needs_no_run() => {
             decide_completed(stored)
--- a/src/scheduler/epoch.rs
+++ b/src/scheduler/epoch.rs
@@ -61,7 +61,7 @@
             self.faulty.clear();
         }
         let unchanged = self.unchanged_members(epoch, kept, cache);
-        self.epoch = LeaderEpoch {
+        let started = LeaderEpoch {
             number: epoch.number,
             incarnation,
             members: epoch.members.clone(),
@@ -69,9 +69,10 @@
             last_report_at: self.epoch.last_report_at,
             ..LeaderEpoch::default()
         };
+        let previous = std::mem::replace(&mut self.epoch, started);
         self.shards.clear();
         for entry in self.jobs.values_mut() {
-            entry.unreconcile(&unchanged);
+            entry.unreconcile(&unchanged, &previous);
         }
         let ids: Vec<JobId> = cache.jobs.keys().cloned().collect();
         for id in ids {
@@ -105,10 +106,13 @@
 }
 
 impl JobEntry {
-    /// Makes every assigned task unreconciled. A task that was assigned to the shard of an
-    /// unchanged member can only run in that shard.
-    fn unreconcile(&mut self, unchanged: &BTreeSet<String>) {
+    /// Makes every assigned task unreconciled, as the epoch `previous` has ended. A task that was
+    /// assigned to the shard of an unchanged member can only run in that shard.
+    fn unreconcile(&mut self, unchanged: &BTreeSet<String>, previous: &LeaderEpoch) {
         let assigned = std::mem::take(&mut self.assigned);
+        let unreconciled = &self.unreconciled;
+        self.latest_numbers
+            .retain(|index, _| unreconciled.contains(*index));
         self.unacknowledged.clear();
         self.only_possible_shard
             .retain(|_, shard| unchanged.contains(&**shard));
@@ -117,10 +121,14 @@
         }
         for (index, assignment) in assigned {
             self.unreconciled.add(index);
-            if unchanged.contains(&*assignment.shard) {
+            if previous.reconciled || self.is_latest(index, assignment.numbers, previous.number) {
+                self.latest_numbers.insert(index, assignment.numbers);
+            }
+            if unchanged.contains(&*assignment.shard) && !self.earlier_copies.contains(index) {
                 self.only_possible_shard.insert(index, assignment.shard);
             }
         }
+        self.earlier_copies.clear();
         self.commit_in_flight = false;
     }
 }
--- a/src/scheduler/job_entry.rs
+++ b/src/scheduler/job_entry.rs
@@ -1,11 +1,13 @@
 //! The leader's state of one unfinished job.
 
+use super::earlier_copies::EarlierCopies;
 use super::failures::JobFailures;
 use super::gang::Attempt;
 use crate::clock::Seconds;
 use crate::finished::TaskSet;
 use crate::shard::TaskPhase;
 use crate::wire::{JobSpec, MachineId};
+use finchwood_types::token::attempt_epoch;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -46,6 +48,11 @@
     pub(super) only_possible_shard: BTreeMap<u32, Arc<str>>,
     /// The assigned tasks, by index.
     pub(super) assigned: BTreeMap<u32, TaskAssignment>,
+    /// Assignments of earlier attempts that shards list although the task is assigned elsewhere.
+    pub(super) earlier_copies: EarlierCopies,
+    /// The numbers of the latest assignment of unreconciled tasks that were assigned in an earlier
+    /// epoch, if this leader led it too.
+    pub(super) latest_numbers: BTreeMap<u32, AssignmentNumbers>,
     /// Assigned tasks that their shard has not listed in a report yet.
     pub(super) unacknowledged: BTreeSet<u32>,
     /// Tasks that a shard has reported as done and that are not committed yet.
@@ -77,6 +84,8 @@
             unreconciled,
             only_possible_shard: BTreeMap::new(),
             assigned: BTreeMap::new(),
+            earlier_copies: EarlierCopies::default(),
+            latest_numbers: BTreeMap::new(),
             unacknowledged: BTreeSet::new(),
             completed: TaskSet::default(),
             commit_in_flight: false,
@@ -124,10 +133,42 @@
             .count()
     }
 
-    /// Removes the assignment of a task.
-    pub(super) fn unassign(&mut self, index: u32) -> Option<TaskAssignment> {
+    /// Removes the assignment of a task. If another shard lists an earlier attempt of it, that
+    /// one is the assignment from now on.
+    pub(super) fn unassign(&mut self, index: u32) {
         self.unacknowledged.remove(&index);
-        self.assigned.remove(&index)
+        self.assigned.remove(&index);
+        if let Some(earlier) = self.earlier_copies.take_latest(index) {
+            self.assign(index, earlier);
+        }
+    }
+
+    /// Records that a shard lists a task. Of two shards' assignments the later one counts; the
+    /// earlier one is kept until its shard reports the task as removed.
+    pub(super) fn record_listed(&mut self, index: u32, listed: TaskAssignment) {
+        self.earlier_copies.remove_of_shard(index, &listed.shard);
+        match self.assigned.get(&index) {
+            Some(current) if current.shard == listed.shard => {}
+            Some(current) if current.numbers > listed.numbers => {
+                self.earlier_copies.add(index, listed);
+                return;
+            }
+            // After a transfer of the machine two shards list the same assignment.
+            Some(current) if current.acknowledged && current.numbers < listed.numbers => {
+                self.earlier_copies.add(index, current.clone());
+            }
+            Some(_) | None => {}
+        }
+        self.assign(index, listed);
+    }
+
+    /// Whether these are the numbers of the latest assignment of a task: no other copy of it can
+    /// run once this one is gone. Any assignment made in the epoch of the leader is the latest;
+    /// of earlier ones that is known only if this leader made them too.
+    pub(super) fn is_latest(&self, index: u32, numbers: AssignmentNumbers, epoch: u64) -> bool {
+        let assigned_in = attempt_epoch(numbers.attempt.max(numbers.assignment));
+        let latest = self.latest_numbers.get(&index);
+        assigned_in == epoch || latest.is_some_and(|latest| numbers >= *latest)
     }
 
     /// Records the assignment of a task, replacing any earlier one.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 pub mod bin_packing;
 pub mod capacity;
 mod completions;
+mod earlier_copies;
 mod epoch;
 mod failures;
 mod gang;
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -56,7 +56,8 @@
     }
 
     /// The tasks that a shard has to stop, with their attempts: those of jobs that are
-    /// being withdrawn, and replicas on machines that are being consolidated.
+    /// being withdrawn, earlier copies of tasks that run elsewhere, and replicas on machines that
+    /// are being consolidated.
     fn recalled_tasks(&self, shard: &str) -> Vec<(Task, u64)> {
         let mut recalled = Vec::new();
         for (id, entry) in self.jobs.iter().filter(|(_, entry)| entry.withdrawing) {
@@ -68,6 +69,11 @@
                 shard_tasks.map(|(index, assigned)| (task(id, *index), assigned.numbers.attempt)),
             );
         }
+        for (id, entry) in &self.jobs {
+            let copies = entry.earlier_copies.iter();
+            let in_shard = copies.filter(|(_, copy)| &*copy.shard == shard);
+            recalled.extend(in_shard.map(|(index, copy)| (task(id, index), copy.numbers.attempt)));
+        }
         if self.consolidating.is_empty() {
             return recalled;
         }
--- a/src/scheduler/shard_reports.rs
+++ b/src/scheduler/shard_reports.rs
@@ -57,6 +57,9 @@
         if full && report.state_retained {
             self.reconcile_retained_shard(&shard, &listed);
         }
+        let released = report.released.iter();
+        let released_tasks = released.map(|(task, attempt, _)| (task, *attempt));
+        self.forget_unlisted_copies(&shard, full.then_some(&listed), released_tasks);
         let mut missing = if full {
             self.missing_tasks(&shard, &listed)
         } else {
@@ -183,12 +186,7 @@
             phase: status.phase,
             machine: status.machine,
         };
-        match entry.assigned.get(&index) {
-            // After a transfer of the machine two shards list the task: the later
-            // assignment counts until one of the shards reports the task as removed.
-            Some(old) if old.shard != assigned.shard && old.numbers > assigned.numbers => {}
-            _ => entry.assign(index, assigned),
-        }
+        entry.record_listed(index, assigned);
     }
 
     /// Applies the removal of a task, which is confirmed to no longer run in the shard.
@@ -204,10 +202,19 @@
                 && assigned.numbers.attempt == removed.attempt
                 && (removed.assignment == 0 || assigned.numbers.assignment == removed.assignment)
         };
-        if !entry.assigned.get(&removed.task.index).is_some_and(is_same) {
+        let index = removed.task.index;
+        if !entry.assigned.get(&index).is_some_and(is_same) {
+            entry.earlier_copies.retain(index, |copy| !is_same(copy));
             return;
         }
-        entry.unassign(removed.task.index);
+        let numbers = entry.assigned.get(&index).map(|assigned| assigned.numbers);
+        let is_latest =
+            numbers.is_some_and(|numbers| entry.is_latest(index, numbers, self.epoch.number));
+        entry.unassign(index);
+        if !is_latest && !self.epoch.reconciled {
+            // Guard: a later attempt may run on a machine that is not reconciled yet.
+            entry.unreconciled.add(index);
+        }
         if removed.reason != RemovalReason::Rejected {
             if let Some(attempt) = entry.attempt.as_mut() {
                 attempt.mark_broken();
@@ -268,6 +275,45 @@
         missing
     }
 
+    /// Removes the earlier copies of tasks that a shard no longer has, without a reported removal:
+    /// those that its full report does not list, and those that it released. Where these copies
+    /// are is unknown.
+    fn forget_unlisted_copies<'a>(
+        &mut self,
+        shard: &Arc<str>,
+        all_listed: Option<&ListedTasks>,
+        released: impl Iterator<Item = (&'a Task, u64)>,
+    ) {
+        let of_shard = |copy: &TaskAssignment| copy.shard == *shard;
+        for (task, attempt) in released {
+            if let Some(entry) = self.jobs.get_mut(&task.job) {
+                let is_released =
+                    |copy: &TaskAssignment| of_shard(copy) && copy.numbers.attempt == attempt;
+                if entry
+                    .earlier_copies
+                    .retain(task.index, |copy| !is_released(copy))
+                {
+                    entry.unreconciled.add(task.index);
+                    self.epoch.reconciled = false;
+                }
+            }
+        }
+        let Some(all_listed) = all_listed else {
+            return;
+        };
+        for (id, entry) in &mut self.jobs {
+            let copies = entry.earlier_copies.iter();
+            let unlisted = copies.filter(|(index, copy)| {
+                of_shard(copy) && !all_listed.contains(&(id.clone(), *index))
+            });
+            for index in unlisted.map(|(index, _)| index).collect::<Vec<u32>>() {
+                entry.earlier_copies.remove_of_shard(index, shard);
+                entry.unreconciled.add(index);
+                self.epoch.reconciled = false;
+            }
+        }
+    }
+
     /// Whether a shard has listed a task under this attempt.
     fn has_acknowledged(&self, shard: &Arc<str>, task: &Task, attempt: u64) -> bool {
         let assigned = self
--- a/src/shard/leases.rs
+++ b/src/shard/leases.rs
@@ -52,6 +52,7 @@
                 machine.session.ended_up_to = machine.session.id;
                 machine.contents.tasks.clear();
                 let below_session = machine.session.id + 1;
+                self.other_copies.remove_machine(&id);
                 self.remove_tasks_of_ended_sessions(&id, below_session);
                 self.report_due = true;
             }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -17,6 +17,7 @@
 mod message_space;
 mod messages;
 mod orders;
+mod other_copies;
 mod placement;
 mod preemption;
 mod reconciliation;
@@ -40,6 +41,7 @@
 use finchwood_reconciliation::restart_record::RestartRecord;
 use issued_tokens::IssuedTokens;
 use machine::Machine;
+use other_copies::OtherCopies;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use transfer::TransferParticipant;
@@ -114,6 +116,8 @@
     /// The tokens of machines that were removed in this epoch.
     issued_tokens: IssuedTokens,
     assigned: AssignedTasks,
+    /// Copies of assigned tasks on other machines of this shard.
+    other_copies: OtherCopies,
     /// Removed tasks that the leader has not acknowledged as removed yet.
     removed_tasks: Vec<RemovedTask>,
     /// Released tasks that the leader has not acknowledged as released yet.
@@ -161,6 +165,7 @@
             machines: BTreeMap::new(),
             issued_tokens: IssuedTokens::default(),
             assigned: AssignedTasks::default(),
+            other_copies: OtherCopies::default(),
             removed_tasks: Vec::new(),
             released_tasks: Vec::new(),
             removed_machines: Vec::new(),
@@ -229,7 +234,13 @@
         self.released_tasks.clear();
         self.removed_machines.clear();
         self.issued_tokens = IssuedTokens::default();
-        self.machines.retain(|id, _| owns(id));
+        self.machines.retain(|id, _| {
+            let keeps = owns(id);
+            if !keeps {
+                self.other_copies.remove_machine(id);
+            }
+            keeps
+        });
         let machines = &self.machines;
         self.assigned.retain(|_, assigned| {
             assigned
--- a/src/shard/reconciliation.rs
+++ b/src/shard/reconciliation.rs
@@ -5,13 +5,14 @@
 use super::machine::{ObservedTask, ObservedTasks};
 use super::{AssignedTask, Placement, RemovalReason, Shard, TaskPhase, TaskStopReason};
 use crate::clock::Seconds;
+use crate::cluster::membership::token;
 use crate::store::cache::StoreCache;
 use crate::wire::{cause, MachineId, Task, TaskState};
 use finchwood_reconciliation::hold_off::{Action, HoldReason};
 use finchwood_reconciliation::restart_record::{DecisionEntry, RecordView};
 use finchwood_reconciliation::stored_jobs::{StoredJobs, StoredTask};
 use finchwood_reconciliation::verdict::{
-    attempt_epoch_has_begun, decide, AdoptReason, KnownAssignment, Verdict,
+    attempt_epoch_has_begun, decide, AdoptReason, ConflictReason, KnownAssignment, Verdict,
 };
 use std::collections::BTreeMap;
 
@@ -40,6 +41,15 @@
                 Some(placement) if assigned.attempt == attempt && placement.machine == *id => {
                     KnownAssignment::Same
                 }
+                // Guard: while a start of the earlier attempt may be in flight, its assignment
+                // stays, so that the start is followed up.
+                Some(placement)
+                    if placement.confirmed
+                        && assigned.attempt < attempt
+                        && attempt_epoch_has_begun(attempt, self.epoch) =>
+                {
+                    KnownAssignment::EarlierAttempt
+                }
                 Some(_) => KnownAssignment::Elsewhere,
             },
         }
@@ -62,6 +72,8 @@
         let (session, first_comparison) = (machine.session.id, !machine.contents.compared);
         machine.contents.compared = true;
         let mut verdicts = BTreeMap::new();
+        let mut other_copies = Vec::new();
+        let mut stop_is_due = false;
         for (task, observed) in &observed_tasks {
             let attempt = observed.attempt;
             let verdict = self.decide_verdict(id, task, observed, cache);
@@ -77,8 +89,12 @@
                         verdict,
                     };
                     self.record_verdict(entry, first_comparison);
+                    stop_is_due |= verdict == Verdict::Conflict(ConflictReason::RunsTwice);
                 }
             }
+            if matches!(verdict, Verdict::Conflict(_)) {
+                other_copies.push((task.clone(), attempt));
+            }
             if attempt_epoch_has_begun(attempt, self.epoch) {
                 self.raise_highest_assignment(task, attempt);
             }
@@ -91,8 +107,10 @@
                 self.stop_task(task, attempt, TaskStopReason::Cancelled);
             }
         }
+        self.other_copies.replace(id, other_copies);
         self.reconcile_absent(id, &observed_tasks, seen_token);
         if let Some(machine) = self.machines.get_mut(id) {
+            machine.commands.probe_due |= stop_is_due;
             machine.contents.tasks = observed_tasks;
             machine.contents.verdicts = verdicts;
         }
@@ -146,6 +164,8 @@
             | Verdict::RecordFinished
             | Verdict::Stop(_)
             | Verdict::LeaveUnreconciled(_) => {
+                let machine = &placement.machine;
+                self.release_earlier_attempt(task, attempt, machine);
                 let assigned = AssignedTask {
                     attempt,
                     assignment: attempt,
@@ -160,6 +180,61 @@
         }
     }
 
+    /// Removes the assignment of an earlier attempt of a task that `machine` reports under a later
+    /// one. The copy under the earlier attempt is to be stopped.
+    fn release_earlier_attempt(&mut self, task: &Task, attempt: u64, machine: &MachineId) {
+        let Some(earlier) = self.assigned.remove(task) else {
+            return;
+        };
+        let Some(placement) = earlier.placement else {
+            return;
+        };
+        tracing::warn!(
+            %task,
+            earlier_attempt = earlier.attempt,
+            earlier_machine = %placement.machine,
+            attempt,
+            %machine,
+            "a task is on two machines; the later attempt stays"
+        );
+        if placement.machine != *machine {
+            self.other_copies
+                .add(task.clone(), &placement.machine, earlier.attempt);
+        }
+        if let Some(earlier_machine) = self.machines.get_mut(&placement.machine) {
+            earlier_machine.commands.probe_due = true;
+        }
+    }
+
+    /// Assigns a task whose assigned copy is gone to the machine that reports another copy, if
+    /// there is one. Returns whether there is.
+    pub(super) fn assign_to_other_copy(&mut self, task: &Task, gone: &AssignedTask) -> bool {
+        let Some((id, attempt)) = self.other_copies.take_latest(task) else {
+            return false;
+        };
+        let Some(machine) = self.machines.get(&id) else {
+            return false;
+        };
+        let token = token(self.epoch, machine.token.counter);
+        let found_at = gone.assigned_at;
+        let assigned = AssignedTask {
+            attempt,
+            assignment: attempt,
+            placement: Some(Placement::adopted(&id, machine.session.id, token, found_at)),
+            ..gone.clone()
+        };
+        tracing::warn!(
+            %task,
+            gone_attempt = gone.attempt,
+            attempt,
+            machine = %id,
+            "a task whose assigned copy is gone is on another machine"
+        );
+        self.assigned.insert(task.clone(), assigned);
+        self.report_due = true;
+        true
+    }
+
     /// Applies the reported state of a task that is assigned here, and stops it if the verdict
     /// requires it.
     fn apply_observed_state(
--- a/src/shard/registration.rs
+++ b/src/shard/registration.rs
@@ -52,6 +52,7 @@
             return false;
         };
         self.issued_tokens.record_removed(id, machine.token.counter);
+        self.other_copies.remove_machine(id);
         self.last_reported.remove(id);
         self.removed_machines
             .push((id.clone(), self.report_seq + 1));
--- a/src/shard/removal.rs
+++ b/src/shard/removal.rs
@@ -30,10 +30,14 @@
         }
     }
 
-    /// Removes a task that is confirmed to run on no machine of this shard, and reports that
-    /// to the leader.
+    /// Removes the assigned copy of a task, which is confirmed to run on its machine no more. If
+    /// no other machine of this shard reports the task, its removal is reported to the leader.
     pub(super) fn remove_task(&mut self, task: &Task, reason: RemovalReason) {
         if let Some(assigned) = self.assigned.remove(task) {
+            // Guard: the leader would start the task again while another copy runs.
+            if self.assign_to_other_copy(task, &assigned) {
+                return;
+            }
             let reason = match (&assigned.placement, reason) {
                 (Some(placement), RemovalReason::Lost) if placement.stop_reason.is_some() => {
                     RemovalReason::Stopped
--- a/src/shard/transfer.rs
+++ b/src/shard/transfer.rs
@@ -429,6 +429,8 @@
                 %machine,
                 "transferred task is already assigned here; keeping that assignment"
             );
+            self.other_copies
+                .add(state.task.clone(), machine, state.attempt);
             return;
         }
         let assigned = AssignedTask {
--- a/tests/control_plane/main.rs
+++ b/tests/control_plane/main.rs
@@ -18,5 +18,6 @@
 mod proof_of_removal;
 mod shard_transfers;
 mod stale_heartbeats;
+mod task_copies;
 mod unresponsive_machines;
 mod versions;
