Move the review of all machines and the handling of task copies into modules of their own

The functions that deal with further copies of a task stand beside the data that they change. Durations in the log are whole milliseconds.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,6 +7,7 @@
 mod command_dispatch;
 mod completions;
 mod events;
+mod fleet_review;
 mod heartbeats;
 mod interval_timer;
 mod job_requests;
--- a/src/controller/state_log.rs
+++ b/src/controller/state_log.rs
@@ -5,6 +5,11 @@
 use crate::clock::Seconds;
 use crate::store::records::Epoch;
 
+/// Returns a duration in whole milliseconds.
+fn milliseconds(duration: Seconds) -> i64 {
+    (duration * 1000.0) as i64
+}
+
 impl Controller {
     /// Logs what this node has read and owns, and what its shard and its leader have done, once
     /// per report interval.
@@ -16,8 +21,11 @@
             epoch = number,
             leader,
             revision = self.store_sync.revision(),
-            read_age_s = self.store_sync.last_synced_at().map(|at| now - at),
-            acts_for_s = self.may_act_until().map(|until| until - now),
+            read_age_ms = self
+                .store_sync
+                .last_synced_at()
+                .map(|at| milliseconds(now - at)),
+            acts_for_ms = self.may_act_until().map(|until| milliseconds(until - now)),
             machines = counts.machines,
             unreconciled = counts.unreconciled_machines,
             assigned = counts.assigned_tasks,
--- a/src/scheduler/earlier_copies.rs
+++ b/src/scheduler/earlier_copies.rs
@@ -4,7 +4,11 @@
 //! unassigned, even if the later attempt is gone.
 
 use super::job_entry::TaskAssignment;
+use super::shard_reports::ListedTasks;
+use super::Leader;
+use crate::wire::Task;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Earlier copies of the tasks of one job, by index. There are hardly ever any.
 #[derive(Debug, Default)]
@@ -61,3 +65,44 @@
         self.by_index.clear();
     }
 }
+
+impl Leader {
+    /// Removes the earlier copies of tasks that a shard no longer has, without a reported removal:
+    /// those that its full report does not list, and those that it released. Where these copies
+    /// are is unknown.
+    pub(super) fn forget_unlisted_copies<'a>(
+        &mut self,
+        shard: &Arc<str>,
+        all_listed: Option<&ListedTasks>,
+        released: impl Iterator<Item = (&'a Task, u64)>,
+    ) {
+        let of_shard = |copy: &TaskAssignment| copy.shard == *shard;
+        for (task, attempt) in released {
+            if let Some(entry) = self.jobs.get_mut(&task.job) {
+                let is_released =
+                    |copy: &TaskAssignment| of_shard(copy) && copy.numbers.attempt == attempt;
+                if entry
+                    .earlier_copies
+                    .retain(task.index, |copy| !is_released(copy))
+                {
+                    entry.unreconciled.add(task.index);
+                    self.epoch.reconciled = false;
+                }
+            }
+        }
+        let Some(all_listed) = all_listed else {
+            return;
+        };
+        for (id, entry) in &mut self.jobs {
+            let copies = entry.earlier_copies.iter();
+            let unlisted = copies.filter(|(index, copy)| {
+                of_shard(copy) && !all_listed.contains(&(id.clone(), *index))
+            });
+            for index in unlisted.map(|(index, _)| index).collect::<Vec<u32>>() {
+                entry.earlier_copies.remove_of_shard(index, shard);
+                entry.unreconciled.add(index);
+                self.epoch.reconciled = false;
+            }
+        }
+    }
+}
--- a/src/scheduler/shard_reports.rs
+++ b/src/scheduler/shard_reports.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 /// The tasks that a report lists.
-type ListedTasks = HashSet<(JobId, u32)>;
+pub(super) type ListedTasks = HashSet<(JobId, u32)>;
 
 fn listed_tasks(statuses: &[AssignedTaskStatus]) -> ListedTasks {
     statuses
@@ -300,45 +300,6 @@
         missing
     }
 
-    /// Removes the earlier copies of tasks that a shard no longer has, without a reported removal:
-    /// those that its full report does not list, and those that it released. Where these copies
-    /// are is unknown.
-    fn forget_unlisted_copies<'a>(
-        &mut self,
-        shard: &Arc<str>,
-        all_listed: Option<&ListedTasks>,
-        released: impl Iterator<Item = (&'a Task, u64)>,
-    ) {
-        let of_shard = |copy: &TaskAssignment| copy.shard == *shard;
-        for (task, attempt) in released {
-            if let Some(entry) = self.jobs.get_mut(&task.job) {
-                let is_released =
-                    |copy: &TaskAssignment| of_shard(copy) && copy.numbers.attempt == attempt;
-                if entry
-                    .earlier_copies
-                    .retain(task.index, |copy| !is_released(copy))
-                {
-                    entry.unreconciled.add(task.index);
-                    self.epoch.reconciled = false;
-                }
-            }
-        }
-        let Some(all_listed) = all_listed else {
-            return;
-        };
-        for (id, entry) in &mut self.jobs {
-            let copies = entry.earlier_copies.iter();
-            let unlisted = copies.filter(|(index, copy)| {
-                of_shard(copy) && !all_listed.contains(&(id.clone(), *index))
-            });
-            for index in unlisted.map(|(index, _)| index).collect::<Vec<u32>>() {
-                entry.earlier_copies.remove_of_shard(index, shard);
-                entry.unreconciled.add(index);
-                self.epoch.reconciled = false;
-            }
-        }
-    }
-
     /// Whether a shard has listed a task under this attempt.
     fn has_acknowledged(&self, shard: &Arc<str>, task: &Task, attempt: u64) -> bool {
         let assigned = self
--- a/src/shard/reconciliation.rs
+++ b/src/shard/reconciliation.rs
@@ -6,7 +6,6 @@
 use super::machine::{ObservedTask, ObservedTasks};
 use super::{AssignedTask, Placement, RemovalReason, Shard, TaskPhase, TaskStopReason};
 use crate::clock::Seconds;
-use crate::cluster::membership::token;
 use crate::store::cache::StoreCache;
 use crate::wire::{cause, MachineId, Task, TaskState};
 use finchwood_reconciliation::hold_off::{Action, HoldReason};
@@ -184,54 +183,6 @@
         }
     }
 
-    /// Removes the assignment of an earlier attempt of a task that `machine` reports under a later
-    /// one. The copy under the earlier attempt is to be stopped.
-    fn release_earlier_attempt(&mut self, task: &Task, attempt: u64, machine: &MachineId) {
-        let Some(earlier) = self.assigned.remove(task) else {
-            return;
-        };
-        let Some(placement) = earlier.placement else {
-            return;
-        };
-        self.events.contradictions.record(|| {
-            let (earlier, earlier_machine) = (earlier.attempt, &placement.machine);
-            format!("{task}@{attempt} {machine} replaces {earlier} {earlier_machine}")
-        });
-        if placement.machine != *machine {
-            self.other_copies
-                .add(task.clone(), &placement.machine, earlier.attempt);
-        }
-        if let Some(earlier_machine) = self.machines.get_mut(&placement.machine) {
-            earlier_machine.commands.probe_due = true;
-        }
-    }
-
-    /// Assigns a task whose assigned copy is gone to the machine that reports another copy, if
-    /// there is one. Returns whether there is.
-    pub(super) fn assign_to_other_copy(&mut self, task: &Task, gone: &AssignedTask) -> bool {
-        let Some((id, attempt)) = self.other_copies.take_latest(task) else {
-            return false;
-        };
-        let Some(machine) = self.machines.get(&id) else {
-            return false;
-        };
-        let token = token(self.epoch, machine.token.counter);
-        let found_at = gone.assigned_at;
-        let assigned = AssignedTask {
-            attempt,
-            assignment: attempt,
-            placement: Some(Placement::adopted(&id, machine.session.id, token, found_at)),
-            ..gone.clone()
-        };
-        self.events.contradictions.record(|| {
-            let gone = gone.attempt;
-            format!("{task}@{attempt} {id} is left when {gone} is gone")
-        });
-        self.assigned.insert(task.clone(), assigned);
-        self.report_due = true;
-        true
-    }
-
     /// Applies the reported state of a task that is assigned here, and stops it if the verdict
     /// requires it.
     fn apply_observed_state(
