A listing of an earlier attempt does not replace an assignment that is under way

What callers saw: nothing yet.

A leader that knows a machine to be deleted frees its tasks and assigns them anew; the owner, which doesn't know it yet, then hears a last report of the machine and lists the earlier attempts. From another shard such a listing was ignored; from the shard that the new assignment was under way to it replaced that assignment. The removal of the earlier attempt then freed the task while its new attempt was on its way, and the leader assigned it a third time, to any shard.

The test fails without the fix: "assigned under, and again under []".

Fix: an unacknowledged assignment is replaced by no listing of an earlier attempt, whichever shard lists it; the earlier one is a further copy until its removal. An acknowledged one still follows what its shard lists, which is the later word.

--- a/src/scheduler/job_entry.rs
+++ b/src/scheduler/job_entry.rs
@@ -152,12 +152,14 @@
         }
     }
 
-    /// Records that a shard lists a task. Of two shards' assignments the later one counts; the
-    /// earlier one is kept until its shard reports the task as removed.
+    /// Records that a shard lists a task. Of two assignments the later one counts; the earlier one
+    /// is kept until its shard reports the task as removed.
     pub(super) fn record_listed(&mut self, index: u32, listed: TaskAssignment) -> Listing {
         self.earlier_copies.remove_of_shard(index, &listed.shard);
         match self.assigned.get(&index) {
-            Some(current) if current.shard == listed.shard => {}
+            Some(current) if current.shard == listed.shard && current.acknowledged => {}
+            // Guard: an assignment that its shard has not acknowledged is under way to it, also
+            // if the shard has listed an earlier attempt meanwhile.
             Some(current) if current.numbers > listed.numbers => {
                 self.earlier_copies.add(index, listed);
                 return Listing::EarlierCopy;
--- a/tests/control_plane/task_copies.rs
+++ b/tests/control_plane/task_copies.rs
@@ -249,3 +249,36 @@
         }
     }
 }
+
+/// Guards against an assignment that a listing of an earlier attempt replaces while it is under way to
+/// the same shard: it was freed with that attempt, and its task assigned once more (soak, seed 245).
+#[test]
+fn a_listing_of_an_earlier_attempt_does_not_replace_an_assignment_that_is_under_way() {
+    let spec = job_spec("wk-1", 1, |_| {});
+    let mut cache = store_cache(2, &[&spec]);
+    let mut shard = new_shard(&cache);
+    let mut leader = new_leader(&cache);
+    reconcile_with(&mut shard, &cache, 2, &[], 0.1);
+    assert!(leader.apply_shard_report(shard.next_report(&cache, 0.2), &cache, 0.2));
+    // The leader knows that m-1 was deleted; its owner hears a last report of it first.
+    leader.reconcile(&cache, &|id| &**id == "m-1");
+    leader.assign_tasks(&cache, 0.2, || true);
+    let under_way = leader.orders("a").expect("orders for the shard");
+    assert_eq!(under_way.assignments.len(), 1);
+    let earlier = [("wk-1/0", EARLIER, TaskState::Running, None)];
+    reconcile_with(&mut shard, &cache, 1, &earlier, 0.3);
+    assert!(leader.apply_shard_report(shard.next_report(&cache, 0.3), &cache, 0.3));
+    delete_machine(&mut cache, &mut shard, "m-1");
+    assert!(leader.apply_shard_report(shard.next_report(&cache, 0.5), &cache, 0.5));
+    leader.reconcile(&cache, &|_| false);
+    leader.assign_tasks(&cache, 0.6, || true);
+    let attempt = under_way.assignments[0].tasks[0].1;
+    let orders = leader.orders("a").expect("orders for the shard");
+    let again = orders.assignments.iter().flat_map(|job| &job.tasks);
+    let again: Vec<u64> = again.map(|(_, attempt)| *attempt).collect();
+    assert!(
+        again.iter().all(|number| *number == attempt),
+        "assigned under {attempt}, and again under {again:?}"
+    );
+    assert_eq!(leader.counts().assigned_tasks, 1);
+}
