--- a/review/lib2/src/cases.rs
+++ b/review/lib2/src/cases.rs
@@ -25,7 +25,12 @@
             gang_peer_s: 4.0,
             list_lag_s: 6.0,
             zones: vec!["pier-a".into(), "pier-b".into(), "island-c".into()],
-            breeds: vec![Breed { name: "deckbox".into(), cpus: 16.0, mem_gb: 128.0, ready_s: 5.0 }],
+            breeds: vec![Breed {
+                name: "deckbox".into(),
+                cpus: 16.0,
+                mem_gb: 128.0,
+                ready_s: 5.0,
+            }],
             team_cap: 400.0,
             capacity: 8,
             fetch_s: 0.5,
@@ -61,8 +66,15 @@
             over: Arc::new(AtomicBool::new(false)),
             poll_s: 5.0,
             copies: 0.0,
+            close: false,
         };
-        Run { cluster, users, begin: Instant::now(), folder: folder.into(), limit_s: 112.0 }
+        Run {
+            cluster,
+            users,
+            begin: Instant::now(),
+            folder: folder.into(),
+            limit_s: 112.0,
+        }
     }
 
     pub fn time_left(&self) -> f64 {
@@ -72,7 +84,9 @@
     /// Waits until a condition holds. Returns whether it did in time.
     pub fn wait(&self, most_s: f64, condition: impl Fn(&Run) -> bool) -> bool {
         let begin = Instant::now();
-        while begin.elapsed().as_secs_f64() < most_s && self.begin.elapsed().as_secs_f64() < self.limit_s {
+        while begin.elapsed().as_secs_f64() < most_s
+            && self.begin.elapsed().as_secs_f64() < self.limit_s
+        {
             if condition(self) {
                 return true;
             }
@@ -95,7 +109,11 @@
         let answer = self.users.call(node, "POST", "/v2/runs", &body, 5.0);
         let accepted = matches!(answer, Some((200 | 201, _)));
         if accepted {
-            lock(&self.cluster.world).jobs.get_mut(&plan.id).expect("a job").accepted = Some(Instant::now());
+            lock(&self.cluster.world)
+                .jobs
+                .get_mut(&plan.id)
+                .expect("a job")
+                .accepted = Some(Instant::now());
         }
         accepted
     }
@@ -106,23 +124,26 @@
             self.cluster.set_peers(node, other, |m| m.refuse = refuse);
             self.cluster.set_peers(other, node, |m| m.refuse = refuse);
         }
-        self.cluster.note(format!("connections between perch-{node} and the others refused: {refuse}"));
+        self.cluster.note(format!(
+            "connections between perch-{node} and the others refused: {refuse}"
+        ));
     }
 
     pub fn submit(&self, plan: &Plan) -> bool {
         let nodes = self.cluster.site_nodes;
-        (0..60).any(|n| self.submit_at(plan, n % nodes) || { sleep(0.5); false })
+        (0..60).any(|n| {
+            self.submit_at(plan, n % nodes) || {
+                sleep(0.5);
+                false
+            }
+        })
     }
 
     pub fn done(&self, job: &str) -> u64 {
-        lock(&self.cluster.world).jobs.get(job).map_or(0, |j| j.done.len() as u64)
-    }
-
-    /// The number of tasks of a job that are on machines.
-    pub fn on(&self, job: &str) -> u64 {
-        let world = lock(&self.cluster.world);
-        let machines = world.machines.values().filter(|m| m.gone.is_none());
-        machines.map(|m| m.insts.iter().filter(|i| i.job == job && i.on()).count() as u64).sum()
+        lock(&self.cluster.world)
+            .jobs
+            .get(job)
+            .map_or(0, |j| j.done.len() as u64)
     }
 
     /// Writes the record and says whether a rule was broken. The exit status.
@@ -134,15 +155,26 @@
         let broken: Vec<&String> = world
             .broken_rules
             .iter()
-            .filter(|line| rules.iter().any(|rule| line.starts_with(&format!("RULE {rule}"))))
+            .filter(|line| {
+                rules
+                    .iter()
+                    .any(|rule| line.starts_with(&format!("RULE {rule}")))
+            })
             .collect();
-        let _ = std::fs::write(self.folder.join("record.txt"), world.record.join("\n") + "\n");
+        let _ = std::fs::write(
+            self.folder.join("record.txt"),
+            world.record.join("\n") + "\n",
+        );
         for line in broken.iter().take(5) {
             println!("{line}");
         }
         let others = world.broken_rules.len() - broken.len();
         let seconds = self.begin.elapsed().as_secs_f64();
-        println!("{} times broken, {others} others, ended {:?}, {seconds:.0} s", broken.len(), self.cluster.ended);
+        println!(
+            "{} times broken, {others} others, ended {:?}, {seconds:.0} s",
+            broken.len(),
+            self.cluster.ended
+        );
         if std::env::var("KEEP").is_err() {
             let _ = std::fs::remove_dir_all(&self.cluster.dir);
         } else {
@@ -150,7 +182,7 @@
         }
         if !broken.is_empty() {
             1
-        } else if ran {
+        } else if ran && self.cluster.ended.is_empty() {
             0
         } else {
             println!("the case could not run");
@@ -180,7 +212,8 @@
         for door in &run.cluster.store.doors {
             lock(door).slow_reads_ms = SLOW_MS;
         }
-        run.cluster.note("the state service answers readings slowly".into());
+        run.cluster
+            .note("the state service answers readings slowly".into());
     }
     let begin = Instant::now();
     let mut number = 100;
@@ -199,7 +232,13 @@
             let users = run.users.clone();
             run.add(&plan);
             std::thread::spawn(move || {
-                users.call(leader, "POST", "/v2/runs", plan.body().to_string().as_bytes(), 5.0)
+                users.call(
+                    leader,
+                    "POST",
+                    "/v2/runs",
+                    plan.body().to_string().as_bytes(),
+                    5.0,
+                )
             });
             sleep(0.09);
         }
--- a/review/lib2/src/chaos.rs
+++ b/review/lib2/src/chaos.rs
@@ -21,7 +21,11 @@
     let five = chance(0.4) || kind.starts_with("loop");
     let nodes = if five { 5 } else { 3 };
     let fast = kind != "slow" && !kind.starts_with("loop");
-    let (report_s, lease_s, cancel_s) = if fast { (0.8, 6.0, 12.0) } else { (3.0, 22.0, 42.0) };
+    let (report_s, lease_s, cancel_s) = if fast {
+        (0.8, 6.0, 12.0)
+    } else {
+        (3.0, 22.0, 42.0)
+    };
     let site = Site {
         nodes,
         params: Params {
@@ -33,8 +37,18 @@
             list_lag_s: 1.5,
             zones: vec!["pier-a".into(), "pier-b".into(), "island-c".into()],
             breeds: vec![
-                Breed { name: "deckbox".into(), cpus: 16.0, mem_gb: 128.0, ready_s: 2.0 },
-                Breed { name: "sprout".into(), cpus: 8.0, mem_gb: 64.0, ready_s: 1.5 },
+                Breed {
+                    name: "deckbox".into(),
+                    cpus: 16.0,
+                    mem_gb: 128.0,
+                    ready_s: 2.0,
+                },
+                Breed {
+                    name: "sprout".into(),
+                    cpus: 8.0,
+                    mem_gb: 64.0,
+                    ready_s: 1.5,
+                },
             ],
             team_cap: 24.0,
             capacity: if chance(0.5) { 2 } else { 4 },
@@ -53,7 +67,11 @@
     let run_s = if fast { 70.0 } else { 150.0 };
     let mut plans = Vec::new();
     for n in 0..60u64 {
-        let mut plan = Plan::new(&format!("wk-{:06}", n), ["array", "array", "standing", "ensemble"][pick(4)], 1 + pick(6) as u64);
+        let mut plan = Plan::new(
+            &format!("wk-{:06}", n),
+            ["array", "array", "standing", "ensemble"][pick(4)],
+            1 + pick(6) as u64,
+        );
         plan.nest = format!("harbor-desk-{}", pick(4));
         plan.rank = ["prod", "urgent", "standard", "low"][pick(4)];
         if plan.shape == "standing" {
@@ -68,7 +86,8 @@
         plan.spot = chance(0.3) && plan.shape == "array";
         plan.broken = chance(0.05) && plan.shape == "array";
         plan.egg = format!("img-{:02}", pick(4));
-        plan.cancel_s = (chance(0.3) || plan.shape == "standing" || plan.broken).then(|| random() * 30.0);
+        plan.cancel_s =
+            (chance(0.3) || plan.shape == "standing" || plan.broken).then(|| random() * 30.0);
         plan.breeds = chance(0.2).then(|| "deckbox".to_string());
         plan.grove = (!plan.scatter && chance(0.15)).then(|| "pier-b".to_string());
         plans.push(plan);
@@ -87,6 +106,7 @@
         over: over.clone(),
         poll_s: 1.5,
         copies: 0.1,
+        close: kind == "close",
     };
     for plan in plans.clone() {
         let users = users.clone();
@@ -134,8 +154,12 @@
     if kind.starts_with("loop") {
         sleep(10.0);
         let shown = |cluster: &Cluster| {
-            let cpu: Vec<String> = (0..nodes).map(|n| format!("{:.1}", cluster.cpu_s(n))).collect();
-            let passed: Vec<u64> = (0..nodes).map(|f| (0..nodes).map(|t| lock(&cluster.peers[f][t]).passed).sum()).collect();
+            let cpu: Vec<String> = (0..nodes)
+                .map(|n| format!("{:.1}", cluster.cpu_s(n)))
+                .collect();
+            let passed: Vec<u64> = (0..nodes)
+                .map(|f| (0..nodes).map(|t| lock(&cluster.peers[f][t]).passed).sum())
+                .collect();
             println!("cpu {cpu:?} messages {passed:?}");
         };
         shown(&cluster);
@@ -150,6 +174,7 @@
             sleep(10.0);
             shown(&cluster);
         }
+        cluster.end();
         std::process::exit(0);
     }
     if kind == "big" {
@@ -169,7 +194,9 @@
             plan.broken = false;
             plan.cancel_s = (n == 90).then_some(40.0);
             plan.nest = "harbor-desk-0".into();
-            lock(&cluster.world).jobs.insert(plan.id.clone(), plan.job());
+            lock(&cluster.world)
+                .jobs
+                .insert(plan.id.clone(), plan.job());
             let (users, plan) = (users.clone(), plan.clone());
             std::thread::spawn(move || users.follow(&plan));
         }
@@ -181,10 +208,20 @@
                 sleep(1.0);
                 cluster.start_node(leader);
             }
-            let memory: Vec<String> = (0..nodes).map(|n| format!("{:.0} MB {:.1} s", cluster.memory_mb(n), cluster.cpu_s(n))).collect();
+            let memory: Vec<String> = (0..nodes)
+                .map(|n| format!("{:.0} MB {:.1} s", cluster.memory_mb(n), cluster.cpu_s(n)))
+                .collect();
             let world = lock(&cluster.world);
-            let done: Vec<usize> = ["wk-000090", "wk-000091", "wk-000092"].iter().map(|j| world.jobs[*j].done.len()).collect();
-            println!("{memory:?} leader {:?} done {done:?} starts {} rules {:?}", cluster.leader(), world.starts, world.broken_rules.first());
+            let done: Vec<usize> = ["wk-000090", "wk-000091", "wk-000092"]
+                .iter()
+                .map(|j| world.jobs[*j].done.len())
+                .collect();
+            println!(
+                "{memory:?} leader {:?} done {done:?} starts {} rules {:?}",
+                cluster.leader(),
+                world.starts,
+                world.broken_rules.first()
+            );
         }
         cluster.look_for_ends();
         println!("{:?}", cluster.ended);
@@ -204,17 +241,46 @@
             undo_one(&mut cluster, &what, a, b);
         }
         cluster.look_for_ends();
+        if kind == "mix" {
+            for n in 0..nodes {
+                if cluster.is_earlier[n] && now > 18.0 + 7.0 * n as f64 {
+                    cluster.is_earlier[n] = false;
+                    cluster.kill_node(n);
+                    cluster.note(format!("perch-{n} gets the new version"));
+                    undo.push((now + 0.5 + random() * 3.0, "start".into(), n, 0));
+                }
+            }
+        }
         if kind == "plain" || kind == "oneway" {
             continue;
         }
-        let node = if chance(0.5) { cluster.leader().unwrap_or(0) } else { pick(nodes) };
-        let span = if fast { 0.3 + random() * 9.0 } else { 0.5 + random() * 30.0 };
+        let node = if chance(0.5) {
+            cluster.leader().unwrap_or(0)
+        } else {
+            pick(nodes)
+        };
+        let span = if fast {
+            0.3 + random() * 9.0
+        } else {
+            0.5 + random() * 30.0
+        };
         let what = pick(17);
-        let add = |undo: &mut Vec<(f64, String, usize, usize)>, what: &str, a: usize, b: usize| undo.push((now + span, what.into(), a, b));
+        let add = |undo: &mut Vec<(f64, String, usize, usize)>, what: &str, a: usize, b: usize| {
+            undo.push((now + span, what.into(), a, b))
+        };
         match what {
             0 | 1 => {
                 cluster.kill_node(node);
-                undo.push((now + if chance(0.5) { 0.1 + random() * 0.4 } else { 3.0 }, "start".into(), node, 0));
+                undo.push((
+                    now + if chance(0.5) {
+                        0.1 + random() * 0.4
+                    } else {
+                        3.0
+                    },
+                    "start".into(),
+                    node,
+                    0,
+                ));
             }
             2 | 3 => {
                 if cluster.is_up(node) && !cluster.stopped.contains(&node) {
@@ -242,7 +308,13 @@
                 let hold = chance(0.5);
                 for other in 0..nodes {
                     for (from, to) in [(node, other), (other, node)] {
-                        cluster.set_peers(from, to, |m| if hold { m.hold = true } else { m.refuse = true });
+                        cluster.set_peers(from, to, |m| {
+                            if hold {
+                                m.hold = true
+                            } else {
+                                m.refuse = true
+                            }
+                        });
                     }
                 }
                 cluster.note(format!("peers of perch-{node} cut, hold {hold}"));
@@ -255,7 +327,12 @@
             }
             9 | 10 => {
                 let mut world = lock(&cluster.world);
-                let ids: Vec<String> = world.machines.values().filter(|m| m.gone.is_none() && m.up).map(|m| m.id.clone()).collect();
+                let ids: Vec<String> = world
+                    .machines
+                    .values()
+                    .filter(|m| m.gone.is_none() && m.up)
+                    .map(|m| m.id.clone())
+                    .collect();
                 if !ids.is_empty() {
                     let id = ids[pick(ids.len())].clone();
                     if chance(0.3) {
@@ -281,7 +358,12 @@
             }
             14 | 15 => {
                 let mut world = lock(&cluster.world);
-                let ids: Vec<String> = world.machines.values().filter(|m| m.gone.is_none() && m.up).map(|m| m.id.clone()).collect();
+                let ids: Vec<String> = world
+                    .machines
+                    .values()
+                    .filter(|m| m.gone.is_none() && m.up)
+                    .map(|m| m.id.clone())
+                    .collect();
                 if !ids.is_empty() {
                     let id = ids[pick(ids.len())].clone();
                     let number: usize = id[2..].parse().unwrap_or(0);
@@ -300,9 +382,15 @@
                 let mut world = lock(&cluster.world);
                 let now = Instant::now();
                 let mut names = Vec::new();
-                for machine in world.machines.values_mut().filter(|m| m.spot && m.gone.is_none() && m.up) {
+                for machine in world
+                    .machines
+                    .values_mut()
+                    .filter(|m| m.spot && m.gone.is_none() && m.up)
+                {
                     if random() < 0.5 {
-                        machine.warning = Some(now + Duration::from_secs_f64(if random() < 0.5 { 0.0 } else { 6.0 }));
+                        machine.warning = Some(
+                            now + Duration::from_secs_f64(if random() < 0.5 { 0.0 } else { 6.0 }),
+                        );
                         machine.changed = true;
                         names.push(machine.id.clone());
                     }
--- a/review/lib2/src/cluster.rs
+++ b/review/lib2/src/cluster.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -50,13 +51,15 @@
     pub store: Arc<Store>,
     pub peers: Vec<Vec<Shared<PeerMode>>>,
     pub clients: Vec<SocketAddr>,
-    pub backs: Vec<SocketAddr>,
     children: Vec<Option<Child>>,
     configs: Vec<PathBuf>,
     pub dir: PathBuf,
     run: Vec<String>,
     pub stopped: BTreeSet<usize>,
     root: PathBuf,
+    /// The program of an earlier version, and the nodes that run it.
+    pub earlier: Option<PathBuf>,
+    pub is_earlier: Vec<bool>,
     /// Processes that ended by themselves.
     pub ended: Vec<String>,
 }
@@ -67,10 +70,12 @@
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
-/// Returns a free port below the range of ephemeral ports.
+/// Returns a free port below the range of ephemeral ports, of a range for this process alone.
 fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = 10_000 + (std::process::id() % 200) as u16 * 100;
     loop {
-        let port = 10_000 + (random() * 20_000.0) as u16;
+        let port = base + NEXT.fetch_add(1, Ordering::SeqCst) % 100;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("an address");
         }
@@ -96,7 +101,9 @@
             return None;
         }
         if now.slow_ms > 0 {
-            std::thread::sleep(Duration::from_millis((now.slow_ms as f64 * random() * 2.0) as u64));
+            std::thread::sleep(Duration::from_millis(
+                (now.slow_ms as f64 * random() * 2.0) as u64,
+            ));
         }
         while lock(&mode).hold {
             std::thread::sleep(Duration::from_millis(10));
@@ -104,13 +111,23 @@
         let timeout = Duration::from_secs(10);
         if chance(now.copies) {
             let wait = Duration::from_secs_f64(random() * now.late_s);
-            let (method, path, body) = (request.method.clone(), request.path.clone(), request.body.clone());
+            let (method, path, body) = (
+                request.method.clone(),
+                request.path.clone(),
+                request.body.clone(),
+            );
             std::thread::spawn(move || {
                 std::thread::sleep(wait);
                 http::call(target, &method, &path, &body, timeout);
             });
         }
-        let answer = http::call(target, &request.method, &request.path, &request.body, timeout);
+        let answer = http::call(
+            target,
+            &request.method,
+            &request.path,
+            &request.body,
+            timeout,
+        );
         if chance(now.lose) {
             return None;
         }
@@ -119,8 +136,16 @@
 }
 
 impl Cluster {
-    pub fn start(site: Site, root: PathBuf, jobs_known: HashMap<String, crate::world::Job>) -> Cluster {
-        let dir = std::env::temp_dir().join(format!("fw-review-{}-{:08x}", std::process::id(), (random() * 4e9) as u64));
+    pub fn start(
+        site: Site,
+        root: PathBuf,
+        jobs_known: HashMap<String, crate::world::Job>,
+    ) -> Cluster {
+        let dir = std::env::temp_dir().join(format!(
+            "fw-review-{}-{:08x}",
+            std::process::id(),
+            (random() * 4e9) as u64
+        ));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let nodes = site.nodes;
         let clients: Vec<SocketAddr> = (0..nodes).map(|_| free_address()).collect();
@@ -137,7 +162,11 @@
             .map(|_| (0..nodes).map(|_| Shared::default()).collect())
             .collect();
         let zones = site.params.zones.clone();
-        let (report_s, lease_s, cancel_s) = (site.params.report_s, site.params.lease_s, site.params.cancel_s);
+        let (report_s, lease_s, cancel_s) = (
+            site.params.report_s,
+            site.params.lease_s,
+            site.params.cancel_s,
+        );
         let (gang_wait_s, gang_peer_s) = (site.params.gang_wait_s, site.params.gang_peer_s);
         let (lag, cap) = (site.params.list_lag_s, site.params.team_cap);
         let world = world::share(World {
@@ -209,13 +238,14 @@
             store,
             peers,
             clients,
-            backs,
             children: (0..nodes).map(|_| None).collect(),
             configs,
             dir,
             run: run_command(&root),
             stopped: BTreeSet::new(),
             root,
+            earlier: std::env::var("FW_EARLIER").ok().map(PathBuf::from),
+            is_earlier: vec![std::env::var("FW_EARLIER").is_ok(); nodes],
             ended: Vec::new(),
         };
         for node in 0..nodes {
@@ -226,7 +256,10 @@
             let mut last = String::new();
             loop {
                 std::thread::sleep(Duration::from_millis(20));
-                let epoch = lock(&store.data).entries.get("fw/epoch").map(|e| e.value.to_string());
+                let epoch = lock(&store.data)
+                    .entries
+                    .get("fw/epoch")
+                    .map(|e| e.value.to_string());
                 if let Some(epoch) = epoch.filter(|e| *e != last) {
                     lock(&world).note(format!("epoch {epoch}"));
                     last = epoch;
@@ -249,11 +282,19 @@
             .append(true)
             .open(self.dir.join(format!("perch-{node}.log")))
             .expect("a log file");
-        let child = Command::new(self.root.join(&self.run[0]))
-            .args(&self.run[1..])
+        let earlier = self.earlier.as_ref().filter(|_| self.is_earlier[node]);
+        let (program, arguments) = match earlier {
+            Some(program) => (program.clone(), vec!["--config".to_string()]),
+            None => (self.root.join(&self.run[0]), self.run[1..].to_vec()),
+        };
+        let child = Command::new(program)
+            .args(&arguments)
             .arg(&self.configs[node])
             .current_dir(&self.root)
-            .env("LOG_LEVEL", std::env::var("FW_LOG").unwrap_or("info".into()))
+            .env(
+                "LOG_LEVEL",
+                std::env::var("FW_LOG").unwrap_or("info".into()),
+            )
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -298,9 +339,20 @@
         let Some(child) = &self.children[node] else {
             return 0.0;
         };
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
-        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+        let fields: Vec<&str> = text
+            .rsplit(')')
+            .next()
+            .unwrap_or("")
+            .split_whitespace()
+            .collect();
+        let ticks = |at: usize| {
+            fields
+                .get(at)
+                .and_then(|f| f.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
         (ticks(11) + ticks(12)) / 100.0
     }
 
@@ -309,9 +361,17 @@
         let Some(child) = &self.children[node] else {
             return 0.0;
         };
-        let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("VmRSS:"))
+            .unwrap_or("");
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|kb| kb.parse::<f64>().ok())
+            .unwrap_or(0.0)
+            / 1024.0
     }
 
     pub fn is_up(&self, node: usize) -> bool {
@@ -323,9 +383,11 @@
         for node in 0..self.site_nodes {
             if let Some(child) = self.children[node].as_mut() {
                 if let Ok(Some(status)) = child.try_wait() {
-                    self.ended.push(format!("perch-{node} ended by itself: {status}"));
+                    self.ended
+                        .push(format!("perch-{node} ended by itself: {status}"));
                     self.children[node] = None;
-                    lock(&self.world).note(format!("RULE ends: perch-{node} ended by itself: {status}"));
+                    lock(&self.world)
+                        .note(format!("RULE ends: perch-{node} ended by itself: {status}"));
                 }
             }
         }
@@ -335,7 +397,12 @@
     pub fn leader(&self) -> Option<usize> {
         let data = lock(&self.store.data);
         let epoch = &data.entries.get("fw/epoch")?.value;
-        epoch.get("leader").str().strip_prefix("perch-")?.parse().ok()
+        epoch
+            .get("leader")
+            .str()
+            .strip_prefix("perch-")?
+            .parse()
+            .ok()
     }
 
     pub fn set_peers(&self, from: usize, to: usize, change: impl Fn(&mut PeerMode)) {
--- a/review/lib2/src/json.rs
+++ b/review/lib2/src/json.rs
@@ -162,7 +162,11 @@
 
 impl Reader<'_> {
     fn space(&mut self) {
-        while self.bytes.get(self.at).is_some_and(|b| b.is_ascii_whitespace()) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|b| b.is_ascii_whitespace())
+        {
             self.at += 1;
         }
     }
--- a/review/lib2/src/main.rs
+++ b/review/lib2/src/main.rs
@@ -29,7 +29,9 @@
         let mut x = state.get();
         if x == 0 {
             let mut seed = lock(&SEED);
-            *seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            *seed = seed
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
             x = *seed | 1;
         }
         x ^= x << 13;
--- a/review/lib2/src/store.rs
+++ b/review/lib2/src/store.rs
@@ -289,7 +289,8 @@
                     Order::Revision => {}
                     Order::Newest => events.reverse(),
                     Order::Key => events.sort_by(|a, b| {
-                        let key = |e: &Json| format!("{}{}", e.get("put").str(), e.get("delete").str());
+                        let key =
+                            |e: &Json| format!("{}{}", e.get("put").str(), e.get("delete").str());
                         key(a).cmp(&key(b))
                     }),
                 }
@@ -404,7 +405,9 @@
         let result = lock(&self.data).execute(&request, &self.limits);
         std::thread::sleep(Duration::from_secs_f64(slow_s - before));
         if request.path.starts_with("/changes") {
-            let ring = result.as_ref().and_then(|(_, body)| Json::parse(body)?.get("ring").u64());
+            let ring = result
+                .as_ref()
+                .and_then(|(_, body)| Json::parse(body)?.get("ring").u64());
             std::thread::sleep(Duration::from_millis(mode.slow_reads_ms));
             if let Some(ring) = ring {
                 lock(&self.data).told.insert(door, ring);
--- a/review/lib2/src/users.rs
+++ b/review/lib2/src/users.rs
@@ -60,8 +60,12 @@
     }
 
     pub fn body(&self) -> Json {
-        let optional = |value: &Option<String>| value.as_ref().map_or(Json::Null, |v| v.clone().into());
-        let breeds = self.breeds.as_ref().map_or(Json::Null, |b| Json::List(vec![b.clone().into()]));
+        let optional =
+            |value: &Option<String>| value.as_ref().map_or(Json::Null, |v| v.clone().into());
+        let breeds = self
+            .breeds
+            .as_ref()
+            .map_or(Json::Null, |b| Json::List(vec![b.clone().into()]));
         obj([
             ("id", self.id.clone().into()),
             ("flock", self.flock.into()),
@@ -79,10 +83,25 @@
             ("one_zone", self.one_zone.into()),
             ("scatter", self.scatter.into()),
             ("windfall", self.spot.into()),
-            ("guess_s", if self.shape == "standing" { 0.0 } else { self.run_s }.into()),
+            (
+                "guess_s",
+                if self.shape == "standing" {
+                    0.0
+                } else {
+                    self.run_s
+                }
+                .into(),
+            ),
             ("molt_s", if self.saves { 5.0 } else { 0.0 }.into()),
             ("stash_s", if self.saves { 2.0 } else { 0.0 }.into()),
-            ("dusk_s", if self.shape == "array" { (self.run_s * 3.0 + 10.0).into() } else { Json::Null }),
+            (
+                "dusk_s",
+                if self.shape == "array" {
+                    (self.run_s * 3.0 + 10.0).into()
+                } else {
+                    Json::Null
+                },
+            ),
         ])
     }
 
@@ -114,6 +133,8 @@
     pub poll_s: f64,
     /// Share of submissions and cancellations of which a copy arrives late.
     pub copies: f64,
+    /// Whether to ask at all nodes right after each answer.
+    pub close: bool,
 }
 
 impl Users {
@@ -121,12 +142,28 @@
         (random() * self.clients.len() as f64) as usize % self.clients.len()
     }
 
-    pub fn call(&self, node: usize, method: &str, path: &str, body: &[u8], timeout: f64) -> Option<(u16, Json)> {
+    pub fn call(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: f64,
+    ) -> Option<(u16, Json)> {
         let begin = Instant::now();
-        let answer = http::call(self.clients[node], method, path, body, Duration::from_secs_f64(timeout));
-        let answer = answer.map(|(status, body)| (status, Json::parse(&body).unwrap_or(Json::Null)));
+        let answer = http::call(
+            self.clients[node],
+            method,
+            path,
+            body,
+            Duration::from_secs_f64(timeout),
+        );
+        let answer =
+            answer.map(|(status, body)| (status, Json::parse(&body).unwrap_or(Json::Null)));
         let mut guard = lock(&self.world);
-        let shown = answer.as_ref().map(|(status, body)| format!("{status} {body}"));
+        let shown = answer
+            .as_ref()
+            .map(|(status, body)| format!("{status} {body}"));
         guard.note(format!(
             "user {method} {path} at perch-{node}: {} after {:.3}",
             shown.unwrap_or("no answer".into()),
@@ -149,7 +186,11 @@
     /// Follows one job from its submission to the end of the run.
     pub fn follow(&self, plan: &Plan) {
         let body = plan.body().to_string().into_bytes();
-        lock(&self.world).jobs.get_mut(&plan.id).expect("a job").submitted = true;
+        lock(&self.world)
+            .jobs
+            .get_mut(&plan.id)
+            .expect("a job")
+            .submitted = true;
         let begin = Instant::now();
         let mut accepted = false;
         while !self.over() && begin.elapsed().as_secs_f64() < 60.0 {
@@ -165,8 +206,15 @@
             match answer {
                 Some((200 | 201, body)) => {
                     accepted = true;
-                    lock(&self.world).jobs.get_mut(&plan.id).expect("a job").accepted = Some(Instant::now());
+                    lock(&self.world)
+                        .jobs
+                        .get_mut(&plan.id)
+                        .expect("a job")
+                        .accepted = Some(Instant::now());
                     self.check(plan, &body);
+                    if self.close {
+                        self.look_closely(plan);
+                    }
                     break;
                 }
                 Some((400 | 422, body)) => {
@@ -187,35 +235,101 @@
                 let job = &guard.jobs[&plan.id];
                 job.cancel_told.is_some() || job.done_told.is_some()
             };
-            let cancel_due = plan.cancel_s.is_some_and(|s| accepted_at.elapsed().as_secs_f64() > s);
+            let cancel_due = plan
+                .cancel_s
+                .is_some_and(|s| accepted_at.elapsed().as_secs_f64() > s);
             if cancel_due && !told {
-                lock(&self.world).jobs.get_mut(&plan.id).expect("a job").cancel_asked = true;
+                lock(&self.world)
+                    .jobs
+                    .get_mut(&plan.id)
+                    .expect("a job")
+                    .cancel_asked = true;
                 let node = self.node();
                 let answer = self.call(node, "POST", &format!("{path}/withdraw"), b"", 5.0);
                 match answer {
-                    Some((200, body)) => self.check(plan, &body),
-                    Some((404, _)) => lock(&self.world).broken("forgotten", format!("withdraw {} at {node}", plan.id)),
+                    Some((200, body)) => {
+                        self.check(plan, &body);
+                        if self.close {
+                            self.look_closely(plan);
+                        }
+                    }
+                    Some((404, _)) => lock(&self.world)
+                        .broken("forgotten", format!("withdraw {} at {node}", plan.id)),
                     _ => self.sleep(1.0),
                 }
                 continue;
             }
             match self.call(self.node(), "GET", &path, b"", 2.0) {
                 Some((200, body)) => self.check(plan, &body),
-                Some((404, _)) => lock(&self.world).broken("forgotten", format!("{} gets 404", plan.id)),
+                Some((404, _)) => {
+                    lock(&self.world).broken("forgotten", format!("{} gets 404", plan.id))
+                }
                 _ => {}
             }
             if random() < 0.1 {
                 match self.call(self.node(), "POST", "/v2/runs", &body, 5.0) {
                     Some((200 | 201, body)) => self.check(plan, &body),
-                    Some((status @ (400 | 422), _)) => {
-                        lock(&self.world).broken("forgotten", format!("repeat of {} gets {status}", plan.id))
-                    }
+                    Some((status @ (400 | 422), _)) => lock(&self.world)
+                        .broken("forgotten", format!("repeat of {} gets {status}", plan.id)),
                     _ => {}
                 }
             }
             let pause = self.poll_s * (0.5 + random());
-            let left = plan.cancel_s.map_or(pause, |s| (s - accepted_at.elapsed().as_secs_f64()).max(0.0));
-            self.sleep(if told { pause } else { pause.min(left.max(0.05)) });
+            let left = plan.cancel_s.map_or(pause, |s| {
+                (s - accepted_at.elapsed().as_secs_f64()).max(0.0)
+            });
+            self.sleep(if told {
+                pause
+            } else {
+                pause.min(left.max(0.05))
+            });
+        }
+    }
+
+    /// Asks at all nodes at once, some milliseconds after an answer. Each answer must be as new
+    /// as what was told before it was asked for.
+    pub fn look_closely(&self, plan: &Plan) {
+        for node in 0..self.clients.len() {
+            let (users, plan) = (self.clone(), plan.clone());
+            std::thread::spawn(move || {
+                for round in 0..3 {
+                    let told = {
+                        let guard = lock(&users.world);
+                        let job = &guard.jobs[&plan.id];
+                        (job.done_told.is_some(), job.cancel_told.is_some())
+                    };
+                    let path = format!("/v2/runs/{}", plan.id);
+                    let repeat = round == 1;
+                    let answer = if repeat {
+                        users.call(
+                            node,
+                            "POST",
+                            "/v2/runs",
+                            plan.body().to_string().as_bytes(),
+                            5.0,
+                        )
+                    } else {
+                        users.call(node, "GET", &path, b"", 2.0)
+                    };
+                    let mood = answer
+                        .as_ref()
+                        .map(|(_, body)| body.get("mood").str().to_string());
+                    let old = match (&answer, mood.as_deref()) {
+                        (Some((404, _)), _) => true,
+                        (Some((400 | 422, _)), _) => repeat,
+                        (Some((200 | 201, _)), Some(mood)) => {
+                            told.0 && mood != "done" || told.1 && mood != "cancelled"
+                        }
+                        _ => false,
+                    };
+                    if old {
+                        lock(&users.world).broken(
+                            "went_back",
+                            format!("{} at {node}: {answer:?} after {told:?}", plan.id),
+                        );
+                    }
+                }
+            });
         }
     }
 
@@ -225,13 +339,18 @@
         let mut guard = lock(&self.world);
         let job = guard.jobs.get_mut(&plan.id).expect("a job");
         let mut wrong = Vec::new();
-        if job.done_told.is_some() && mood != "done" || job.cancel_told.is_some() && mood != "cancelled" {
+        if job.done_told.is_some() && mood != "done"
+            || job.cancel_told.is_some() && mood != "cancelled"
+        {
             wrong.push(("went_back", format!("{} is {mood}", plan.id)));
         }
         match mood.as_str() {
             "done" => {
                 if (job.done.len() as u64) < job.chicks {
-                    wrong.push(("not_done", format!("{} has {} of {}", plan.id, job.done.len(), job.chicks)));
+                    wrong.push((
+                        "not_done",
+                        format!("{} has {} of {}", plan.id, job.done.len(), job.chicks),
+                    ));
                 }
                 job.done_told.get_or_insert_with(Instant::now);
             }
--- a/review/lib2/src/world.rs
+++ b/review/lib2/src/world.rs
@@ -230,10 +230,11 @@
                 }
                 ("halt", Some(at)) => {
                     let settle = call.get("settle_s").f64();
-                    let (stash, saves, gang) = self.jobs.get(job).map_or((0.0, false, false), |j| {
-                        let stash = j.spec.get("stash_s").f64();
-                        (stash, j.spec.get("molt_s").f64() > 0.0, j.gang)
-                    });
+                    let (stash, saves, gang) =
+                        self.jobs.get(job).map_or((0.0, false, false), |j| {
+                            let stash = j.spec.get("stash_s").f64();
+                            (stash, j.spec.get("molt_s").f64() > 0.0, j.gang)
+                        });
                     let machine = self.machines.get_mut(id).expect("a machine");
                     let inst = &mut machine.insts[at];
                     machine.changed = true;
@@ -289,7 +290,10 @@
                 if at.task() == task && other_id != id {
                     wrong.push((
                         "ran_twice",
-                        format!("{task}@{} starts on {id} and {other_id} has @{}", inst.hatch, at.hatch),
+                        format!(
+                            "{task}@{} starts on {id} and {other_id} has @{}",
+                            inst.hatch, at.hatch
+                        ),
                     ));
                 }
                 if other_job.nest == job.nest {
@@ -305,7 +309,10 @@
             }
         }
         if used > self.params.team_cap + 1e-6 {
-            wrong.push(("quota", format!("{} uses {used} with {task} on {id}", job.nest)));
+            wrong.push((
+                "quota",
+                format!("{} uses {used} with {task} on {id}", job.nest),
+            ));
         }
         let spec = &job.spec;
         let breeds = spec.get("breeds").list();
@@ -316,10 +323,19 @@
             wrong.push(("wrong_place", format!("{task} on {id}")));
         }
         if spec.get("one_zone").bool() && other_zone.is_some() {
-            wrong.push(("wrong_place", format!("{task} on {id} in {} and others in {other_zone:?}", machine.zone)));
+            wrong.push((
+                "wrong_place",
+                format!(
+                    "{task} on {id} in {} and others in {other_zone:?}",
+                    machine.zone
+                ),
+            ));
         }
         if spec.get("scatter").bool() && in_zone > job.chicks.div_ceil(2) {
-            wrong.push(("wrong_place", format!("{task} on {id}: {in_zone} in {}", machine.zone)));
+            wrong.push((
+                "wrong_place",
+                format!("{task} on {id}: {in_zone} in {}", machine.zone),
+            ));
         }
         let cancel_s = Duration::from_secs_f64(self.params.cancel_s);
         if job.cancel_told.is_some_and(|at| at.elapsed() > cancel_s) {
@@ -346,7 +362,11 @@
                 continue;
             }
             if now - machine.lease_from > lease {
-                let lost: Vec<String> = machine.insts.iter().map(|i| format!("{}@{} {:?}", i.task(), i.hatch, i.mood)).collect();
+                let lost: Vec<String> = machine
+                    .insts
+                    .iter()
+                    .map(|i| format!("{}@{} {:?}", i.task(), i.hatch, i.mood))
+                    .collect();
                 machine.insts.clear();
                 machine.flight += 1;
                 machine.lease_from = now;
@@ -381,7 +401,10 @@
                 if told.is_some_and(|at| at.elapsed() > cancel_s)
                     && !self.cancel_seen.contains(&inst.task())
                 {
-                    late.push((inst.task(), format!("{} is on {id} (hung {})", inst.task(), machine.hung)));
+                    late.push((
+                        inst.task(),
+                        format!("{} is on {id} (hung {})", inst.task(), machine.hung),
+                    ));
                 }
             }
         }
@@ -402,7 +425,11 @@
         let mut next = inst.clone();
         match inst.mood {
             Mood::Fetching => {
-                self.machines.get_mut(id).expect("a machine").images.insert(image);
+                self.machines
+                    .get_mut(id)
+                    .expect("a machine")
+                    .images
+                    .insert(image);
                 self.check_start(id, inst);
                 self.note(format!("runs {id} {}@{}", inst.task(), inst.hatch));
                 if done_before {
@@ -432,9 +459,18 @@
                 next.cause = if broken { "error" } else { "done" };
                 next.due = None;
                 if !broken {
-                    self.jobs.get_mut(&inst.job).expect("a job").done.insert(inst.index);
+                    self.jobs
+                        .get_mut(&inst.job)
+                        .expect("a job")
+                        .done
+                        .insert(inst.index);
                 }
-                self.note(format!("ends {id} {}@{} {}", inst.task(), inst.hatch, next.cause));
+                self.note(format!(
+                    "ends {id} {}@{} {}",
+                    inst.task(),
+                    inst.hatch,
+                    next.cause
+                ));
             }
             Mood::Saving => {
                 next.mood = Mood::Ended;
@@ -465,7 +501,10 @@
         }
         for ((job, _), members) in gangs {
             let (chicks, run_s) = (self.jobs[&job].chicks, self.jobs[&job].run_s);
-            let moods: Vec<Mood> = members.iter().map(|(id, at)| self.machines[id].insts[*at].mood).collect();
+            let moods: Vec<Mood> = members
+                .iter()
+                .map(|(id, at)| self.machines[id].insts[*at].mood)
+                .collect();
             let complete = members.len() as u64 == chicks;
             if complete && moods.iter().all(|m| *m == Mood::Gathering) {
                 for (id, at) in &members {
@@ -481,7 +520,9 @@
                 continue;
             }
             let over = members.iter().all(|(id, at)| {
-                self.machines[id].insts[*at].due.is_some_and(|due| due <= now)
+                self.machines[id].insts[*at]
+                    .due
+                    .is_some_and(|due| due <= now)
             });
             let cause = if complete && over {
                 "done"
@@ -539,11 +580,20 @@
             })
             .collect();
         let warning = machine.warning.map_or(Json::Null, |at| {
-            at.saturating_duration_since(Instant::now()).as_secs_f64().into()
+            at.saturating_duration_since(Instant::now())
+                .as_secs_f64()
+                .into()
         });
         obj([
             ("perch", machine.id.clone().into()),
-            ("address", machine.address.map(|a| a.to_string()).unwrap_or_default().into()),
+            (
+                "address",
+                machine
+                    .address
+                    .map(|a| a.to_string())
+                    .unwrap_or_default()
+                    .into(),
+            ),
             ("breed", machine.breed.clone().into()),
             ("grove", machine.zone.clone().into()),
             ("windfall", machine.spot.into()),
@@ -563,7 +613,10 @@
             .map(|m| {
                 obj([
                     ("id", m.id.clone().into()),
-                    ("address", m.address.map(|a| a.to_string()).unwrap_or_default().into()),
+                    (
+                        "address",
+                        m.address.map(|a| a.to_string()).unwrap_or_default().into(),
+                    ),
                     ("breed", m.breed.clone().into()),
                     ("grove", m.zone.clone().into()),
                     ("windfall", m.spot.into()),
@@ -597,7 +650,9 @@
             let due: Vec<String> = guard
                 .machines
                 .values()
-                .filter(|m| !m.up && m.gone.is_none() && m.up_at.is_some_and(|at| at <= Instant::now()))
+                .filter(|m| {
+                    !m.up && m.gone.is_none() && m.up_at.is_some_and(|at| at <= Instant::now())
+                })
                 .map(|m| m.id.clone())
                 .collect();
             for id in due {
@@ -741,14 +796,26 @@
             let copy = body.clone();
             std::thread::spawn(move || {
                 std::thread::sleep(late);
-                http::call(address, "POST", "/agent/beat", &copy, Duration::from_secs(4));
+                http::call(
+                    address,
+                    "POST",
+                    "/agent/beat",
+                    &copy,
+                    Duration::from_secs(4),
+                );
             });
         }
         let mut result = if faults.cut_nodes.contains(&node) || faults.mute.contains(id) {
             std::thread::sleep(Duration::from_secs(4));
             None
         } else {
-            http::call(address, "POST", "/agent/beat", &body, Duration::from_secs(4))
+            http::call(
+                address,
+                "POST",
+                "/agent/beat",
+                &body,
+                Duration::from_secs(4),
+            )
         };
         if chance(faults.lose_answers) || faults.deaf.contains(id) {
             result = None;
@@ -774,7 +841,10 @@
             }
             Some((421, body)) => {
                 let body = Json::parse(&body).unwrap_or(Json::Null);
-                let to = guard.names.iter().position(|n| n == body.get("sings_to").str());
+                let to = guard
+                    .names
+                    .iter()
+                    .position(|n| n == body.get("sings_to").str());
                 let machine = guard.machines.get_mut(id).expect("a machine");
                 match to.filter(|to| *to != machine.node % nodes) {
                     Some(to) => {
@@ -835,7 +905,12 @@
 fn cloud_execute(world: &mut World, path: &str, request: &Request, body: &Json) -> Answer {
     match (request.method.as_str(), path) {
         ("GET", "/catalog") => {
-            let groves: Vec<Json> = world.params.zones.iter().map(|z| z.as_str().into()).collect();
+            let groves: Vec<Json> = world
+                .params
+                .zones
+                .iter()
+                .map(|z| z.as_str().into())
+                .collect();
             let breeds: Vec<Json> = world
                 .params
                 .breeds
@@ -868,14 +943,21 @@
             let used = world
                 .machines
                 .values()
-                .filter(|m| m.gone.is_none() && m.breed == breed && m.zone == zone && m.spot == spot)
+                .filter(|m| {
+                    m.gone.is_none() && m.breed == breed && m.zone == zone && m.spot == spot
+                })
                 .count();
             let number = body.get("number").u64().unwrap_or(0) as usize;
             let number = number.min(world.params.capacity.saturating_sub(used));
             if number == 0 || !world.rents {
                 return json(503, obj([("error", "no capacity".into())]));
             }
-            let ready = world.params.breeds.iter().find(|b| b.name == breed).map_or(1.0, |b| b.ready_s);
+            let ready = world
+                .params
+                .breeds
+                .iter()
+                .find(|b| b.name == breed)
+                .map_or(1.0, |b| b.ready_s);
             let mut names = Vec::new();
             for _ in 0..number {
                 world.last_machine += 1;
@@ -907,14 +989,20 @@
                 world.machines.insert(id.clone(), machine);
                 names.push(id);
             }
-            world.note(format!("rented {names:?} {breed} {zone} spot {spot} by {ask}"));
+            world.note(format!(
+                "rented {names:?} {breed} {zone} spot {spot} by {ask}"
+            ));
             world.asks.insert(ask, names.clone());
             let names: Vec<Json> = names.into_iter().map(Json::from).collect();
             json(200, obj([("perches", names.into())]))
         }
         ("POST", "/machines/delete") => {
             for name in body.get("perches").list() {
-                if world.machines.get(name.str()).is_some_and(|m| m.gone.is_none()) {
+                if world
+                    .machines
+                    .get(name.str())
+                    .is_some_and(|m| m.gone.is_none())
+                {
                     world.end_machine(name.str(), "deleted");
                 }
             }
@@ -927,7 +1015,10 @@
                 .and_then(|wanted| world.lists.iter().rfind(|(at, _)| *at <= wanted))
                 .map(|(_, list)| list.clone())
                 .unwrap_or_default();
-            json(200, obj([("perches", list.into()), ("truncated", false.into())]))
+            json(
+                200,
+                obj([("perches", list.into()), ("truncated", false.into())]),
+            )
         }
         _ => json(400, obj([])),
     }
