--- a/review/lib2/src/cases.rs
+++ b/review/lib2/src/cases.rs
@@ -131,12 +131,16 @@
 
     pub fn submit(&self, plan: &Plan) -> bool {
         let nodes = self.cluster.site_nodes;
-        (0..60).any(|n| {
-            self.submit_at(plan, n % nodes) || {
-                sleep(0.5);
-                false
+        let begin = Instant::now();
+        let mut node = 0;
+        while begin.elapsed().as_secs_f64() < 20.0 {
+            if self.submit_at(plan, node % nodes) {
+                return true;
             }
-        })
+            node += 1;
+            sleep(0.5);
+        }
+        false
     }
 
     pub fn done(&self, job: &str) -> u64 {
