Listings of jobs that the leader has not read are kept until it reads them

Cause: callers saw a task on two machines at once after a change of leader. A deposed leader accepts a job after the new epoch was committed and before it reads of it, and starts its tasks. Their machines' new owner lists them to the new leader, whose reading of the store lags. The leader dropped what it could not place, but acknowledged the report; shards report changes only, so that the tasks were not listed again. Once the record was read, they were taken for unassigned.

Changed: what a shard lists of a job that is not in the cache is kept, replaced and removed as other listings are, and applied when the record is read. So nothing of a report is lost, and the shards need not report once more: that wait, which held up all jobs, is gone. Nothing waits for a record that never comes. The simulated cluster knows now what the real controllers do: a writer knows of its own submissions, cancellations and commits before it reads them, and a fault plan deposes leaders while they accept jobs and their successors read late.

--- a/src/scheduler/epoch.rs
+++ b/src/scheduler/epoch.rs
@@ -15,8 +15,7 @@
     pub(super) incarnation: u64,
     /// The controllers that are members of the epoch, with their incarnations.
     pub(super) members: BTreeMap<String, u64>,
-    /// Shards that have reported in this epoch since a job with unreconciled tasks was last
-    /// added.
+    /// Shards that have reported in this epoch.
     pub(super) reported_shards: BTreeSet<String>,
     /// Whether every task and every machine is reconciled.
     pub(super) reconciled: bool,
@@ -71,6 +70,7 @@
         };
         let previous = std::mem::replace(&mut self.epoch, started);
         self.shards.clear();
+        self.unread_jobs.clear();
         for entry in self.jobs.values_mut() {
             entry.unreconcile(&unchanged, &previous);
         }
--- a/src/scheduler/events.rs
+++ b/src/scheduler/events.rs
@@ -29,6 +29,8 @@
     pub(super) held_back: EventSample,
     /// Tasks of which two shards list a copy.
     pub(super) listed_twice: EventSample,
+    /// Tasks that were listed before the record of their job was read.
+    pub(super) listed_unread: EventSample,
 }
 
 impl Leader {
@@ -57,5 +59,9 @@
             let (count, examples) = (listed_twice.count(), listed_twice.examples());
             tracing::warn!(epoch, count, ?examples, "two shards list a task");
         }
+        if let Some(listed_unread) = events.listed_unread.take() {
+            let (count, examples) = (listed_unread.count(), listed_unread.examples());
+            tracing::info!(epoch, count, ?examples, "listed tasks of jobs not read yet");
+        }
     }
 }
--- a/src/scheduler/job_changes.rs
+++ b/src/scheduler/job_changes.rs
@@ -15,6 +15,7 @@
             return;
         };
         let Some(spec) = job.record.spec.clone().filter(|_| !job.record.done) else {
+            self.unread_jobs.remove_job(id);
             if self
                 .jobs
                 .get(id)
@@ -26,6 +27,7 @@
         };
         if !self.jobs.contains_key(id) {
             self.add_job(id, job, spec);
+            self.apply_kept_listings(id, cache);
         }
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
@@ -52,14 +54,13 @@
                 unreconciled.add(index);
             }
         }
-        if job.record.cancelled && unreconciled.is_empty() {
+        let is_listed = self.unread_jobs.contains(id);
+        if job.record.cancelled && unreconciled.is_empty() && !is_listed {
             return;
         }
         if !unreconciled.is_empty() {
-            // Tasks of this job in the reports applied so far were ignored, since the job
-            // was not in the cache.
             self.epoch.reconciled = false;
-            self.epoch.reported_shards.clear();
+            self.epoch.has_new_evidence = true;
         }
         let entry = JobEntry::new(spec, job.record.accepted_at_ms, unreconciled);
         self.jobs.insert(id.clone(), entry);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,7 +6,6 @@
 //! on no machine), assigned (one shard is responsible for it) or unreconciled (its location
 //! has not been established since the epoch started). Unreconciled tasks are never
 //! assigned.
-//! assigned.
 //!
 //! Terms: a job is zone-constrained if all its tasks must run in one zone (`one_zone`) or
 //! one zone may take at most half of them (`scatter`). An allowance is the number of
@@ -30,6 +29,7 @@
 mod reconcile;
 mod round;
 mod shard_reports;
+mod unread_jobs;
 mod urgency;
 mod usage;
 
@@ -50,6 +50,7 @@
 use job_entry::{AssignmentNumbers, JobEntry, TaskAssignment};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
+use unread_jobs::UnreadJobs;
 
 /// The settings that the assignment of tasks depends on.
 #[derive(Debug)]
@@ -103,6 +104,8 @@
     policy: AssignmentPolicy,
     /// The jobs that have not ended, and ended ones with assigned or unreconciled tasks.
     jobs: BTreeMap<JobId, JobEntry>,
+    /// What shards list of jobs that are not in the cache yet.
+    unread_jobs: UnreadJobs,
     /// The shards that have reported in this epoch, by the name of their controller.
     pub shards: BTreeMap<String, ShardView>,
     /// The interned names of machine types, zones, shards and images.
@@ -143,6 +146,7 @@
             epoch: LeaderEpoch::default(),
             policy: AssignmentPolicy::new(settings),
             jobs: BTreeMap::new(),
+            unread_jobs: UnreadJobs::default(),
             shards: BTreeMap::new(),
             names: NameInterner::default(),
             attempt_limit: MAX_COUNTER,
--- a/src/scheduler/shard_reports.rs
+++ b/src/scheduler/shard_reports.rs
@@ -50,6 +50,9 @@
             view.set_silent_machines(report.silent_machines);
         }
         let listed = listed_tasks(&report.assigned);
+        if full {
+            self.unread_jobs.remove_shard(&shard);
+        }
         for status in report.assigned {
             self.apply_assigned_task(&shard, status, cache);
         }
@@ -59,6 +62,10 @@
         if full && report.state_retained {
             self.reconcile_retained_shard(&shard, &listed);
         }
+        for (task, attempt, _) in &report.released {
+            self.unread_jobs
+                .remove(&shard, task, |status| status.attempt == *attempt);
+        }
         let released = report.released.iter();
         let released_tasks = released.map(|(task, attempt, _)| (task, *attempt));
         self.forget_unlisted_copies(&shard, full.then_some(&listed), released_tasks);
@@ -149,7 +156,7 @@
     }
 
     /// Applies the status of a task that a shard lists as assigned to it.
-    fn apply_assigned_task(
+    pub(super) fn apply_assigned_task(
         &mut self,
         shard: &Arc<str>,
         status: AssignedTaskStatus,
@@ -157,7 +164,8 @@
     ) {
         let index = status.task.index;
         let Some(entry) = self.jobs.get_mut(&status.task.job) else {
-            return;
+            // Guard: the report is acknowledged, and the shard does not list the task again.
+            return self.keep_until_read(shard, status, cache);
         };
         // A task that the job does not have would count towards its completion.
         if index >= entry.spec.task_count {
@@ -202,6 +210,10 @@
     fn apply_removed_task(&mut self, shard: &Arc<str>, removed: RemovedTask, now: Seconds) {
         let report_s = self.policy.report_s;
         let Some(entry) = self.jobs.get_mut(&removed.task.job) else {
+            self.unread_jobs.remove(shard, &removed.task, |status| {
+                status.attempt == removed.attempt
+                    && (removed.assignment == 0 || status.assignment == removed.assignment)
+            });
             return;
         };
         // A shard repeats the removal of a task in its reports, also after the task was
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -359,7 +359,9 @@
         let evict_after_s = self.settings.evict_after_s();
         let max_unanswered_s = match self.fault_plan {
             FaultPlan::HeartbeatsOutliveMachines => REPORT_S * MAX_UNANSWERED_REPORTS,
-            FaultPlan::All | FaultPlan::NewMachinesMeetNewEpochs => WORKER_LEASE_S,
+            FaultPlan::All
+            | FaultPlan::NewMachinesMeetNewEpochs
+            | FaultPlan::DeposedLeadersAcceptJobs => WORKER_LEASE_S,
         };
         let controller = &mut self.controllers[index];
         let (commands, report) = controller.shard_round(now);
@@ -441,7 +443,9 @@
                 item: write,
             });
         } else {
+            let log_length = self.store_log.len();
             self.commit_finish(write);
+            self.learn_own_writes(index, log_length);
         }
     }
 }
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -10,13 +10,17 @@
 /// The number of latest machines from which a fault of a single worker selects one.
 const LATEST_MACHINES: usize = 5;
 
-/// The number of controllers that the plan [`FaultPlan::HeartbeatsOutliveMachines`] keeps: the one
-/// that remains then owns the machines that were brought back and those that run their tasks.
+/// The number of controllers that the plans [`FaultPlan::HeartbeatsOutliveMachines`] and
+/// [`FaultPlan::DeposedLeadersAcceptJobs`] keep: the one that remains then owns all machines, and
+/// before it each owns some.
 const CONTROLLERS_KEPT: usize = 2;
 
 /// The longest time for which the network holds back heartbeats.
 const LONGEST_HOLD_S: f64 = WORKER_LEASE_S / 2.0;
 
+/// The longest time for which the network holds back the direct commands of a new leader.
+const MAX_COMMAND_HOLD_S: f64 = 2.0;
+
 /// How many machines the focused fault plan takes away together.
 const MACHINES_TAKEN: usize = 3;
 
@@ -30,6 +34,9 @@
     /// Heartbeats that the network holds back until after their machines were deleted, and
     /// leaders that end soon after these heartbeats have arrived.
     HeartbeatsOutliveMachines,
+    /// Leaders that a new epoch excludes while they accept jobs and before they read of it, and
+    /// next leaders that read of these jobs late.
+    DeposedLeadersAcceptJobs,
 }
 
 /// Machines whose heartbeats the network holds back, and what happens meanwhile and afterwards.
@@ -40,6 +47,25 @@
     leader_stops_at: f64,
 }
 
+impl FaultPlan {
+    fn keeps_few_controllers(self) -> bool {
+        matches!(
+            self,
+            FaultPlan::HeartbeatsOutliveMachines | FaultPlan::DeposedLeadersAcceptJobs
+        )
+    }
+}
+
+/// A leader that a new epoch has excluded. It accepts jobs until it reads of that epoch.
+#[derive(Clone, Copy)]
+pub(super) struct DeposedLeader {
+    controller: usize,
+    /// The next leader, once it has entered the epoch. Its further readings are late.
+    successor: Option<usize>,
+    /// Until when the network holds back the direct commands of the next leader.
+    commands_held_until: f64,
+}
+
 /// A failed controller and the time at which it recovers.
 #[derive(Clone, Copy)]
 pub(super) struct PendingRecovery {
@@ -51,6 +77,10 @@
     /// Injects random faults. While the recovery of a controller is pending, it injects none
     /// and only carries out the recovery once it is due.
     pub(super) fn inject_faults(&mut self) {
+        if self.fault_plan.keeps_few_controllers() {
+            self.stop_surplus_controllers();
+        }
+        self.let_deposed_leader_accept_jobs();
         if let Some(recovery) = self.recovery {
             if self.now >= recovery.at {
                 self.recover(recovery.controller);
@@ -67,6 +97,9 @@
         if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
             return self.hold_heartbeats_and_change_leader();
         }
+        if self.fault_plan == FaultPlan::DeposedLeadersAcceptJobs {
+            return self.make_room_and_depose_leader();
+        }
         if self.rng.gen_bool(0.003) {
             self.drop_incoming_of_one_worker();
         }
@@ -104,6 +137,14 @@
         }
     }
 
+    fn stop_surplus_controllers(&mut self) {
+        for index in CONTROLLERS_KEPT..CONTROLLERS.len() {
+            if self.controllers[index].alive {
+                self.stop_controller(index);
+            }
+        }
+    }
+
     /// Returns the name of the controller that is to recover next.
     pub(super) fn returning_controller(&self) -> Option<&'static str> {
         self.recovery
@@ -113,7 +154,7 @@
     /// Returns the recovery of another stopped controller, soon after the last one; `None` if
     /// all run.
     fn next_recovery(&mut self) -> Option<PendingRecovery> {
-        if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
+        if self.fault_plan.keeps_few_controllers() {
             return None;
         }
         let controller = self
@@ -215,8 +256,12 @@
     }
 
     fn delay_reading(&mut self, index: usize) {
-        self.controllers[index].reading_delayed_until =
-            self.now + self.rng.gen_range(0.3..MEMBER_LEASE_S / 2.0);
+        let delay_s = self.rng.gen_range(0.3..MEMBER_LEASE_S / 2.0);
+        self.delay_reading_by(index, delay_s);
+    }
+
+    fn delay_reading_by(&mut self, index: usize, delay_s: f64) {
+        self.controllers[index].reading_delayed_until = self.now + delay_s;
         self.statistics.delayed_readings += 1;
     }
 
@@ -289,14 +334,83 @@
         }
     }
 
+    /// Cancels jobs, and deposes the leader a little later.
+    fn make_room_and_depose_leader(&mut self) {
+        match self.leader_deposed_at {
+            Some(at) if self.now >= at => {
+                self.leader_deposed_at = None;
+                self.depose_leader();
+            }
+            Some(_) => {}
+            None => {
+                self.make_room();
+                self.leader_deposed_at = Some(self.now + self.rng.gen_range(2.0..5.0));
+            }
+        }
+    }
+
+    /// Removes the leader from the members while its readings are late, as when its connections
+    /// to the other controllers are refused. It goes on acting until it reads of the new epoch.
+    fn depose_leader(&mut self) {
+        let controller = self.leader_index();
+        let lag_s = self.rng.gen_range(1.0..MEMBER_LEASE_S / 2.0);
+        self.delay_reading_by(controller, lag_s);
+        self.remove_member(controller);
+        self.deposed_leader = Some(DeposedLeader {
+            controller,
+            successor: None,
+            commands_held_until: 0.0,
+        });
+        self.recovery = Some(PendingRecovery {
+            controller,
+            at: self.now + self.rng.gen_range(3.0..10.0),
+        });
+    }
+
+    /// Cancels many jobs, so that the team has room for others.
+    fn make_room(&mut self) {
+        for number in 0..JOB_NUMBERS {
+            if self.rng.gen_bool(0.5) {
+                self.cancel(number);
+            }
+        }
+    }
+
+    /// Returns until when the network holds back the direct commands of a controller that has just
+    /// succeeded a deposed leader; `None` for others.
+    pub(super) fn commands_held_until(&self, from: usize) -> Option<f64> {
+        let deposed = self.deposed_leader?;
+        let held = deposed.successor == Some(from) && self.now < deposed.commands_held_until;
+        held.then_some(deposed.commands_held_until)
+    }
+
+    /// Submits jobs through the leader that was deposed last, until it reads of that, and delays
+    /// the readings of the next leader as soon as it has entered its epoch.
+    fn let_deposed_leader_accept_jobs(&mut self) {
+        let Some(mut deposed) = self.deposed_leader else {
+            return;
+        };
+        let successor = self.leader_index();
+        let entered = self.controllers[successor].shard.epoch() == self.epoch.number;
+        if entered && deposed.successor.is_none() {
+            deposed.successor = Some(successor);
+            let held_s = self.rng.gen_range(0.5..MAX_COMMAND_HOLD_S);
+            deposed.commands_held_until = self.now + held_s;
+            let lag_s = self.rng.gen_range(0.5..MEMBER_LEASE_S / 2.0);
+            self.delay_reading_by(successor, held_s + lag_s);
+        }
+        self.deposed_leader = Some(deposed);
+        let controller = deposed.controller;
+        if self.controllers[controller].entered_epoch().is_none() || self.is_member(controller) {
+            self.deposed_leader = None;
+        } else if self.accepts_requests(controller) && self.rng.gen_bool(0.2) {
+            self.submit_next(Some(controller));
+        }
+    }
+
     /// Holds back the heartbeats of some machines, deletes these machines meanwhile, and stops the
     /// leader after the heartbeats have arrived.
     fn hold_heartbeats_and_change_leader(&mut self) {
-        for index in CONTROLLERS_KEPT..CONTROLLERS.len() {
-            if self.controllers[index].alive {
-                self.stop_controller(index);
-            }
-        }
         let Some(held) = self.held_heartbeats.clone() else {
             if self.rng.gen_bool(0.05) {
                 self.hold_heartbeats();
@@ -374,7 +488,9 @@
                 self.take_one_machine();
                 self.delay_reading_of_one_controller();
             }
-            FaultPlan::All | FaultPlan::HeartbeatsOutliveMachines => {}
+            FaultPlan::All
+            | FaultPlan::HeartbeatsOutliveMachines
+            | FaultPlan::DeposedLeadersAcceptJobs => {}
             FaultPlan::NewMachinesMeetNewEpochs => self.delay_reading_of_leader(),
         }
         let controller = &mut self.controllers[index];
@@ -392,6 +508,7 @@
     pub(crate) fn end_faults(&mut self) {
         self.faults_ended = true;
         self.held_heartbeats = None;
+        self.deposed_leader = None;
         self.store_outage_until = 0.0;
         for index in 0..CONTROLLERS.len() {
             self.controllers[index].partitioned_until = 0.0;
--- a/tests/common/simulated_cluster/jobs.rs
+++ b/tests/common/simulated_cluster/jobs.rs
@@ -1,7 +1,7 @@
 //! The submission and cancellation of jobs by users.
 
 use super::network::{CancellationNotice, Packet};
-use super::{SimulatedCluster, CONTROLLERS, JOB_NUMBERS};
+use super::{FaultPlan, SimulatedCluster, CONTROLLERS, JOB_NUMBERS};
 use finchwood::store::records::JobRecord;
 use finchwood::wire::{JobKind, JobSpec, Priority};
 use rand::Rng;
@@ -42,9 +42,10 @@
 impl SimulatedCluster {
     /// Runs one round of the users, who submit and cancel jobs at random.
     pub(super) fn users_round(&mut self) {
-        if self.next_job < JOB_NUMBERS && self.rng.gen_bool(0.06) {
-            self.submit(self.next_job);
-            self.next_job += 1;
+        let only_by_deposed = self.fault_plan == FaultPlan::DeposedLeadersAcceptJobs;
+        if !only_by_deposed && self.rng.gen_bool(0.06) {
+            let acceptor = self.accepting_controller();
+            self.submit_next(acceptor);
         }
         if self.rng.gen_bool(0.02) {
             let number = self.rng.gen_range(0..self.next_job);
@@ -52,8 +53,14 @@
         }
     }
 
-    /// Submits a job. Its number determines its kind and priority.
-    fn submit(&mut self, number: u32) {
+    /// Submits the next job through a controller, or through one that ends before it can act on
+    /// the job (`None`). The job's number determines its kind and priority.
+    pub(super) fn submit_next(&mut self, acceptor: Option<usize>) {
+        let number = self.next_job;
+        if number >= JOB_NUMBERS {
+            return;
+        }
+        self.next_job += 1;
         let (job_kind, priority) = match number % 6 {
             0 | 3 => (JobKind::Service, Priority::Prod),
             1 | 2 => (JobKind::Gang, Priority::Standard),
@@ -65,19 +72,36 @@
             self.gangs.insert(spec.id.clone());
         }
         self.specs.insert(spec.id.clone(), spec.clone());
-        // The accepting controller may still be in the previous epoch.
-        let epochs_behind = u64::from(self.rng.gen_bool(0.2)).min(self.epoch.number - 1);
         let id = spec.id.clone();
         let record = JobRecord {
             spec: Some(spec),
-            epoch: self.epoch.number - epochs_behind,
+            epoch: self.epoch_of_submission(acceptor),
             accepted_at_ms: u64::from(number),
             task_count,
             cancelled: false,
             done: false,
             cancelled_at_ms: None,
         };
+        let log_length = self.store_log.len();
         self.put_job(&id, record);
+        if let Some(acceptor) = acceptor {
+            self.learn_own_writes(acceptor, log_length);
+        }
+    }
+
+    /// Returns the epoch in the record of a job. The accepting controller may still be in an
+    /// earlier epoch than the store.
+    fn epoch_of_submission(&mut self, acceptor: Option<usize>) -> u64 {
+        let Some(acceptor) = acceptor else {
+            let epochs_behind = u64::from(self.rng.gen_bool(0.2)).min(self.epoch.number - 1);
+            return self.epoch.number - epochs_behind;
+        };
+        let known = self.controllers[acceptor].cache.epoch.as_ref();
+        let known = known.expect("an epoch that the acceptor has read").number;
+        if known < self.epoch.number {
+            self.statistics.submissions_in_earlier_epochs += 1;
+        }
+        known
     }
 
     /// Cancels the job with this number, unless it is done, already cancelled or not submitted
@@ -96,6 +120,8 @@
         }
         self.cancelled.insert(id.clone(), self.now);
         let task_count = spec.task_count;
+        let writer = self.accepting_controller();
+        let log_length = self.store_log.len();
         let record = JobRecord {
             spec: Some(spec),
             epoch: 0,
@@ -106,6 +132,9 @@
             cancelled_at_ms: Some((self.now * 1000.0) as u64),
         };
         self.put_job(&id, record);
+        if let Some(writer) = writer {
+            self.learn_own_writes(writer, log_length);
+        }
         // Some controllers are also notified directly; correctness does not depend on that.
         for to in 0..CONTROLLERS.len() {
             if self.rng.gen_bool(0.5) {
--- a/tests/common/simulated_cluster/mod.rs
+++ b/tests/common/simulated_cluster/mod.rs
@@ -13,6 +13,7 @@
 mod machine_registry;
 mod membership;
 mod network;
+mod own_writes;
 #[path = "../settings.rs"]
 mod settings_text;
 mod shard_transfers;
@@ -22,7 +23,7 @@
 
 use controllers::Controller;
 pub(crate) use faults::FaultPlan;
-use faults::{HeldHeartbeats, PendingRecovery};
+use faults::{DeposedLeader, HeldHeartbeats, PendingRecovery};
 use finchwood::config::settings::Settings;
 use finchwood::store::records::Epoch;
 use finchwood::store::KeyChange;
@@ -104,6 +105,10 @@
     recovery: Option<PendingRecovery>,
     /// The machines whose heartbeats are held back, by the fault plan of that name.
     held_heartbeats: Option<HeldHeartbeats>,
+    /// When the leader is to be deposed; `None` if that is not planned.
+    leader_deposed_at: Option<f64>,
+    /// The last leader that a new epoch has excluded, by the fault plan of that name.
+    deposed_leader: Option<DeposedLeader>,
     /// Whether the faults and the submissions have ended for good.
     faults_ended: bool,
     statistics: Statistics,
@@ -147,6 +152,8 @@
             mass_cancellation_at: None,
             recovery: None,
             held_heartbeats: None,
+            leader_deposed_at: None,
+            deposed_leader: None,
             faults_ended: false,
             statistics: Statistics::default(),
         };
--- a/tests/common/simulated_cluster/network.rs
+++ b/tests/common/simulated_cluster/network.rs
@@ -115,8 +115,10 @@
 
     /// Returns until when the network holds a packet back; `None` if it does not.
     fn held_back_until(&self, packet: &Packet) -> Option<f64> {
-        let Packet::Heartbeat(packet) = packet else {
-            return None;
+        let packet = match packet {
+            Packet::Heartbeat(packet) => packet,
+            Packet::DirectCommand(command) => return self.commands_held_until(command.from),
+            _ => return None,
         };
         let worker = self.worker_on(&packet.heartbeat.machine)?;
         let until = self.workers[worker].heartbeats_held_until;
@@ -296,12 +298,19 @@
         }
         let from = report.node.clone();
         let transfers = std::mem::take(&mut report.transfers);
+        let jobs = &controller.cache.jobs;
+        let lists_unread = |report: &ShardReport| {
+            let mut assigned = report.assigned.iter();
+            assigned.any(|status| !jobs.contains_key(&status.task.job))
+        };
+        let lists_unread_job = lists_unread(&report);
         if !controller
             .leader
             .apply_shard_report(report, &controller.cache, now)
         {
             return;
         }
+        self.statistics.listings_before_records += u32::from(lists_unread_job);
         controller.transfers.apply_report(&from, transfers, now);
         if let Some(mut orders) = controller.leader.orders(&from) {
             orders.transfers = controller.transfers.orders_for(&from);
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -37,6 +37,10 @@
     /// Heartbeats under a token of the owner's epoch that arrived after the deletion of their
     /// machine.
     pub(crate) heartbeats_of_deleted_machines: u32,
+    /// Jobs that were accepted by a controller that had not read of the current epoch.
+    pub(crate) submissions_in_earlier_epochs: u32,
+    /// Reports that listed a task whose job the leader had not read.
+    pub(crate) listings_before_records: u32,
     /// Completed transfers of hash ranges.
     pub(crate) completed_transfers: u64,
 }
@@ -58,6 +62,8 @@
         self.deposed_page_writes += other.deposed_page_writes;
         self.late_page_writes += other.late_page_writes;
         self.heartbeats_of_deleted_machines += other.heartbeats_of_deleted_machines;
+        self.submissions_in_earlier_epochs += other.submissions_in_earlier_epochs;
+        self.listings_before_records += other.listings_before_records;
         self.completed_transfers += other.completed_transfers;
     }
 }
--- a/tests/control_plane/main.rs
+++ b/tests/control_plane/main.rs
@@ -19,5 +19,6 @@
 mod shard_transfers;
 mod stale_heartbeats;
 mod task_copies;
+mod unread_jobs;
 mod unresponsive_machines;
 mod versions;
--- a/tests/interleavings/soak.rs
+++ b/tests/interleavings/soak.rs
@@ -1,6 +1,7 @@
 //! The same checks with further seeds. Without more, a few seeds run; a long run is started by
 //! hand: `SOAK_SEEDS=40..400 cargo test --test interleavings soak -- --nocapture` prints each seed
-//! that fails, with its fault plan.
+//! that fails, with its fault plan. `SOAK_PLAN=deposed` runs only the plans with that word in their
+//! names.
 
 use crate::simulated_cluster::{FaultPlan, SimulatedCluster};
 use crate::FAULTS_UNTIL_S;
@@ -8,6 +9,8 @@
 
 /// The environment variable with the range of seeds, as `40..400`.
 const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
+/// The environment variable with a part of the names of the fault plans to run.
+const PLAN_VARIABLE: &str = "SOAK_PLAN";
 /// The seeds without that variable.
 const DEFAULT_SEEDS: Range<u64> = 40..50;
 
@@ -16,7 +19,7 @@
 const ALL_ENDED_BY_S: f64 = 1_000.0;
 
 /// A fault plan, and whether all controllers use the shard map.
-const PLANS: [(&str, FaultPlan, bool); 4] = [
+const PLANS: [(&str, FaultPlan, bool); 5] = [
     ("all faults", FaultPlan::All, false),
     (
         "new machines meet new epochs",
@@ -28,6 +31,11 @@
         FaultPlan::HeartbeatsOutliveMachines,
         false,
     ),
+    (
+        "deposed leaders accept jobs",
+        FaultPlan::DeposedLeadersAcceptJobs,
+        false,
+    ),
     ("transfers of hash ranges", FaultPlan::All, true),
 ];
 
@@ -42,8 +50,12 @@
 #[test]
 fn soak() {
     let mut failed = Vec::new();
+    let wanted = std::env::var(PLAN_VARIABLE).unwrap_or_default();
     for seed in seeds() {
         for (name, plan, uses_shard_map) in PLANS {
+            if !name.contains(&wanted) {
+                continue;
+            }
             let run = std::panic::catch_unwind(|| {
                 let mut cluster = SimulatedCluster::new(seed, uses_shard_map, plan);
                 cluster.run_until(FAULTS_UNTIL_S);
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -140,3 +140,35 @@
         "only {heartbeats_of_deleted_machines} heartbeats outlived their machines"
     );
 }
+
+/// Guards against a new leader that drops what shards list of a job before it has read the job's
+/// record: the deposed leader accepted that job and started its tasks (review, case 4).
+#[test]
+fn jobs_that_deposed_leaders_accept_run_no_task_twice() {
+    let mut total = Statistics::default();
+    for seed in 0..FOCUSED_SEEDS {
+        let plan = FaultPlan::DeposedLeadersAcceptJobs;
+        let mut cluster = SimulatedCluster::new(seed, false, plan);
+        cluster.run_until(FOCUSED_UNTIL_S);
+        total += cluster.statistics();
+    }
+    let Statistics {
+        starts,
+        submissions_in_earlier_epochs,
+        listings_before_records,
+        ..
+    } = total;
+    println!(
+        "{starts} starts, {submissions_in_earlier_epochs} jobs accepted in earlier epochs, \
+         {listings_before_records} reports with tasks of jobs that their leader had not read"
+    );
+    assert!(starts > 1000, "only {starts} tasks were started");
+    assert!(
+        submissions_in_earlier_epochs > 500,
+        "only {submissions_in_earlier_epochs} jobs were accepted in an earlier epoch"
+    );
+    assert!(
+        listings_before_records > 100,
+        "only {listings_before_records} reports listed tasks of jobs that were not read"
+    );
+}
