Move the handling of submissions into a module of its own

Changed: submit, its checks, its write and the outcome are in src/controller/submissions.rs; nothing else is different.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -22,6 +22,7 @@
 mod start;
 mod state_log;
 mod store_sync;
+mod submissions;
 mod watch_events;
 mod worker_redirects;
 mod writes;
