A leader accepts jobs only in the epoch that it leads

Cause: callers would see a team over its limit after a change of leader. A deposed leader that has not read of the new epoch accepts a job and starts it, and the next leader accepts one of the same team and starts that: neither can know of the other's. Keeping listings does not help, as both start before anything is listed. Found by the simulated cluster, once both leaders accept jobs.

Changed: the write that accepts a job carries a condition on the epoch if its controller leads, as the pages of the registry do. What fails by that condition alone is sent again after a reading of the new epoch. Submissions to other controllers carry none: nobody starts them before the leader has read them in order. A controller that became the leader while its write was under way takes in the record with its next reading.

Ruled out: a leader that takes in its own submissions only with its next reading makes the same order impossible, but each job accepted by the leader waits a poll for its start. A condition on all submissions would refuse those under way on every controller at each change of epoch.

--- a/src/controller/job_requests.rs
+++ b/src/controller/job_requests.rs
@@ -14,8 +14,9 @@
 use crate::store::keys::job_key;
 use crate::store::records::JobRecord;
 use crate::store::{CommitOutcome, Condition, ConditionalWrite, WriteClass};
-use crate::wire::{JobId, JobStatus};
+use crate::wire::{JobId, JobSpec, JobStatus};
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// The `Retry-After` value of a request about a job whose record is invalid, in seconds. The
 /// request cannot be served until an operator has repaired the record.
@@ -40,6 +41,11 @@
         responder: Responder,
         deadline: Seconds,
     },
+    Submit {
+        spec: Arc<JobSpec>,
+        responder: Responder,
+        deadline: Seconds,
+    },
     /// Rejects a submission, unless some controller has accepted the job.
     Reject {
         job: JobId,
@@ -53,6 +59,7 @@
         match self {
             ReadRequest::Query { responder, .. }
             | ReadRequest::Cancel { responder, .. }
+            | ReadRequest::Submit { responder, .. }
             | ReadRequest::Reject { responder, .. } => responder,
         }
     }
@@ -298,6 +305,21 @@
     fn serve_read(&mut self, request: ReadRequest, now: Seconds) {
         match request {
             ReadRequest::Query { job, responder } => self.respond_with_status(&job, responder),
+            ReadRequest::Submit {
+                spec,
+                responder,
+                deadline,
+            } => {
+                if now < deadline {
+                    self.submit_until(spec, responder, deadline, now);
+                } else {
+                    responder.retry_later(
+                        status::SERVICE_UNAVAILABLE,
+                        RETRY_AFTER_S,
+                        NOT_COMMITTED,
+                    );
+                }
+            }
             ReadRequest::Reject {
                 job,
                 reason,
--- a/src/controller/submissions.rs
+++ b/src/controller/submissions.rs
@@ -11,8 +11,9 @@
 use crate::api::status;
 use crate::clock::{self, Seconds};
 use crate::store::keys::job_key;
+use crate::store::leader_fencing::{failed_by_epoch_only, submission_conditions};
 use crate::store::records::JobRecord;
-use crate::store::{CommitOutcome, Condition, ConditionalWrite, WriteClass};
+use crate::store::{CommitOutcome, ConditionalWrite, WriteClass};
 use crate::wire::{Catalog, JobId, JobKind, JobSpec};
 use std::sync::Arc;
 
@@ -52,6 +53,9 @@
 /// A submission that is being committed, and the responders that wait for it.
 pub(super) struct PendingSubmission {
     record: JobRecord,
+    deadline: Seconds,
+    /// Whether its commit proves that this node still led then, as it did when it sent the write.
+    fenced: bool,
     pub(super) responders: Vec<Responder>,
 }
 
@@ -59,6 +63,17 @@
     /// Handles a submission. Accepts the job, unless it can never run; responds with the
     /// job's status if the job was accepted before.
     pub(super) fn submit(&mut self, spec: JobSpec, responder: Responder, now: Seconds) {
+        self.submit_until(Arc::new(spec), responder, now + REQUEST_TIMEOUT, now);
+    }
+
+    /// Handles a submission that is refused unless its write is sent before `deadline`.
+    pub(super) fn submit_until(
+        &mut self,
+        spec: Arc<JobSpec>,
+        responder: Responder,
+        deadline: Seconds,
+        now: Seconds,
+    ) {
         let id = spec.id.clone();
         if self.is_accepted(&id) {
             return self.query(id, responder, now);
@@ -99,10 +114,17 @@
                 TOO_MANY_SUBMISSIONS,
             );
         }
-        self.write_submission(id, spec, responder, now);
+        self.write_submission(id, spec, responder, deadline, now);
     }
 
-    fn write_submission(&mut self, id: JobId, spec: JobSpec, responder: Responder, now: Seconds) {
+    fn write_submission(
+        &mut self,
+        id: JobId,
+        spec: Arc<JobSpec>,
+        responder: Responder,
+        deadline: Seconds,
+        now: Seconds,
+    ) {
         let record = self.new_job_record(spec);
         let value = to_value(&record);
         // The record must also fit into the key-value store once the job is cancelled or the
@@ -112,10 +134,11 @@
             let reason = RejectReason::DescriptionTooLong;
             return self.reject_unless_accepted(id, reason, responder, now);
         }
+        let led_epoch_revision = self.is_leader().then_some(self.cache.epoch_revision);
         let write = ConditionalWrite {
-            conditions: vec![Condition::new(job_key(&id), 0)],
+            conditions: submission_conditions(&id, led_epoch_revision),
             ops: vec![put_value(job_key(&id), value)],
-            deadline: now + REQUEST_TIMEOUT,
+            deadline,
             purpose: WritePurpose::Submission(id.clone()),
         };
         if self.writer.send(WriteClass::Urgent, write).is_err() {
@@ -127,15 +150,17 @@
         }
         let pending = PendingSubmission {
             record,
+            deadline,
+            fenced: led_epoch_revision.is_some(),
             responders: vec![responder],
         };
         self.job_requests.submissions.insert(id, pending);
     }
 
-    fn new_job_record(&self, spec: JobSpec) -> JobRecord {
+    fn new_job_record(&self, spec: Arc<JobSpec>) -> JobRecord {
         JobRecord {
             task_count: spec.task_count,
-            spec: Some(Arc::new(spec)),
+            spec: Some(spec),
             epoch: self.cache.epoch.as_ref().map_or(0, |epoch| epoch.number),
             accepted_at_ms: clock::wall_clock_ms(),
             cancelled: false,
@@ -201,13 +226,16 @@
         };
         match outcome {
             CommitOutcome::Committed(revision) => {
-                self.apply_submission(&id, &pending.record, revision, now);
+                self.apply_submission(&id, &pending, revision, now);
                 let mut code = status::CREATED;
                 for responder in pending.responders {
                     send_job_status(code, &status_without_counts(&id, "pending"), responder);
                     code = status::OK;
                 }
             }
+            CommitOutcome::Conflict(keys) if failed_by_epoch_only(&id, &keys) => {
+                self.submit_after_fresh_read(pending, now);
+            }
             CommitOutcome::Conflict(_) => {
                 // Another controller has already stored the job.
                 for responder in pending.responders {
@@ -221,8 +249,30 @@
         }
     }
 
-    fn apply_submission(&mut self, id: &JobId, record: &JobRecord, revision: u64, now: Seconds) {
-        if let Some(spec) = &record.spec {
+    /// Submits a job again once this node has read of the epoch in which it no longer leads, or
+    /// leads again.
+    fn submit_after_fresh_read(&mut self, pending: PendingSubmission, now: Seconds) {
+        let Some(spec) = pending.record.spec else {
+            return send_not_committed(pending.responders);
+        };
+        for responder in pending.responders {
+            let request = ReadRequest::Submit {
+                spec: spec.clone(),
+                responder,
+                deadline: pending.deadline,
+            };
+            self.wait_for_fresh_read(request, now);
+        }
+    }
+
+    fn apply_submission(
+        &mut self,
+        id: &JobId,
+        pending: &PendingSubmission,
+        revision: u64,
+        now: Seconds,
+    ) {
+        if let Some(spec) = &pending.record.spec {
             tracing::debug!(
                 job = %id,
                 tasks = spec.task_count,
@@ -231,8 +281,13 @@
                 "job accepted"
             );
         }
-        self.cache.put(&job_key(id), to_value(record), revision);
-        self.apply_job_change(id);
+        // Guard: this node began to lead after it sent the write, and may have been deposed before
+        // the commit. It takes in the record with its next reading.
+        if pending.fenced || !self.is_leader() {
+            self.cache
+                .put(&job_key(id), to_value(&pending.record), revision);
+            self.apply_job_change(id);
+        }
         self.record_first_accepted(now);
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod http_client;
 pub mod invalid_records;
 pub mod keys;
+pub mod leader_fencing;
 pub mod pending_writes;
 mod rate_budget;
 pub mod records;
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -361,7 +361,8 @@
             FaultPlan::HeartbeatsOutliveMachines => REPORT_S * MAX_UNANSWERED_REPORTS,
             FaultPlan::All
             | FaultPlan::NewMachinesMeetNewEpochs
-            | FaultPlan::DeposedLeadersAcceptJobs => WORKER_LEASE_S,
+            | FaultPlan::DeposedLeadersAcceptJobs
+            | FaultPlan::DeposedEarlierVersionsAcceptJobs => WORKER_LEASE_S,
         };
         let controller = &mut self.controllers[index];
         let (commands, report) = controller.shard_round(now);
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -11,7 +11,7 @@
 const LATEST_MACHINES: usize = 5;
 
 /// The number of controllers that the plans [`FaultPlan::HeartbeatsOutliveMachines`] and
-/// [`FaultPlan::DeposedLeadersAcceptJobs`] keep: the one that remains then owns all machines, and
+/// those that depose leaders keep: the one that remains then owns all machines, and
 /// before it each owns some.
 const CONTROLLERS_KEPT: usize = 2;
 
@@ -34,9 +34,12 @@
     /// Heartbeats that the network holds back until after their machines were deleted, and
     /// leaders that end soon after these heartbeats have arrived.
     HeartbeatsOutliveMachines,
-    /// Leaders that a new epoch excludes while they accept jobs and before they read of it, and
-    /// next leaders that read of these jobs late.
+    /// Leaders that a new epoch excludes while they and the next leaders accept jobs, and that read
+    /// of it late.
     DeposedLeadersAcceptJobs,
+    /// The same with deposed leaders of an earlier version, which accept jobs without a condition
+    /// on the epoch. The next leaders accept none, but read of these jobs late.
+    DeposedEarlierVersionsAcceptJobs,
 }
 
 /// Machines whose heartbeats the network holds back, and what happens meanwhile and afterwards.
@@ -49,11 +52,21 @@
 
 impl FaultPlan {
     fn keeps_few_controllers(self) -> bool {
+        self == FaultPlan::HeartbeatsOutliveMachines || self.deposes_leaders()
+    }
+
+    /// Whether jobs are accepted by leaders that are deposed, and by the next leaders.
+    pub(super) fn deposes_leaders(self) -> bool {
         matches!(
             self,
-            FaultPlan::HeartbeatsOutliveMachines | FaultPlan::DeposedLeadersAcceptJobs
+            FaultPlan::DeposedLeadersAcceptJobs | FaultPlan::DeposedEarlierVersionsAcceptJobs
         )
     }
+
+    /// Whether leaders accept jobs on the condition that their epoch is unchanged.
+    pub(super) fn fences_submissions(self) -> bool {
+        self != FaultPlan::DeposedEarlierVersionsAcceptJobs
+    }
 }
 
 /// A leader that a new epoch has excluded. It accepts jobs until it reads of that epoch.
@@ -97,7 +110,7 @@
         if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
             return self.hold_heartbeats_and_change_leader();
         }
-        if self.fault_plan == FaultPlan::DeposedLeadersAcceptJobs {
+        if self.fault_plan.deposes_leaders() {
             return self.make_room_and_depose_leader();
         }
         if self.rng.gen_bool(0.003) {
@@ -384,8 +397,9 @@
         held.then_some(deposed.commands_held_until)
     }
 
-    /// Submits jobs through the leader that was deposed last, until it reads of that, and delays
-    /// the readings of the next leader as soon as it has entered its epoch.
+    /// Submits jobs through the leader that was deposed last and the next one, until the former
+    /// reads of its deposition, and delays the readings of the latter as soon as it has entered
+    /// its epoch.
     fn let_deposed_leader_accept_jobs(&mut self) {
         let Some(mut deposed) = self.deposed_leader else {
             return;
@@ -403,8 +417,14 @@
         let controller = deposed.controller;
         if self.controllers[controller].entered_epoch().is_none() || self.is_member(controller) {
             self.deposed_leader = None;
-        } else if self.accepts_requests(controller) && self.rng.gen_bool(0.2) {
-            self.submit_next(Some(controller));
+            return;
+        }
+        let fenced = self.fault_plan.fences_submissions();
+        let successor = deposed.successor.filter(|_| fenced);
+        for acceptor in [Some(controller), successor].into_iter().flatten() {
+            if self.accepts_requests(acceptor) && self.rng.gen_bool(0.15) {
+                self.submit_next(Some(acceptor));
+            }
         }
     }
 
@@ -490,7 +510,8 @@
             }
             FaultPlan::All
             | FaultPlan::HeartbeatsOutliveMachines
-            | FaultPlan::DeposedLeadersAcceptJobs => {}
+            | FaultPlan::DeposedLeadersAcceptJobs
+            | FaultPlan::DeposedEarlierVersionsAcceptJobs => {}
             FaultPlan::NewMachinesMeetNewEpochs => self.delay_reading_of_leader(),
         }
         let controller = &mut self.controllers[index];
--- a/tests/common/simulated_cluster/jobs.rs
+++ b/tests/common/simulated_cluster/jobs.rs
@@ -1,7 +1,8 @@
 //! The submission and cancellation of jobs by users.
 
 use super::network::{CancellationNotice, Packet};
-use super::{FaultPlan, SimulatedCluster, CONTROLLERS, JOB_NUMBERS};
+use super::{SimulatedCluster, CONTROLLERS, JOB_NUMBERS};
+use finchwood::store::leader_fencing::submission_conditions;
 use finchwood::store::records::JobRecord;
 use finchwood::wire::{JobKind, JobSpec, Priority};
 use rand::Rng;
@@ -42,8 +43,7 @@
 impl SimulatedCluster {
     /// Runs one round of the users, who submit and cancel jobs at random.
     pub(super) fn users_round(&mut self) {
-        let only_by_deposed = self.fault_plan == FaultPlan::DeposedLeadersAcceptJobs;
-        if !only_by_deposed && self.rng.gen_bool(0.06) {
+        if !self.fault_plan.deposes_leaders() && self.rng.gen_bool(0.06) {
             let acceptor = self.accepting_controller();
             self.submit_next(acceptor);
         }
@@ -60,6 +60,13 @@
         if number >= JOB_NUMBERS {
             return;
         }
+        let led_epoch_revision = acceptor.and_then(|index| self.led_epoch_revision(index));
+        let conditions = submission_conditions(&job_id(number), led_epoch_revision);
+        if !conditions.iter().all(|condition| self.holds(condition)) {
+            // The user submits the job again later.
+            self.statistics.refused_submissions += 1;
+            return;
+        }
         self.next_job += 1;
         let (job_kind, priority) = match number % 6 {
             0 | 3 => (JobKind::Service, Priority::Prod),
--- a/tests/common/simulated_cluster/machine_registry.rs
+++ b/tests/common/simulated_cluster/machine_registry.rs
@@ -127,9 +127,11 @@
 
     /// Writes a page if the conditions hold, and returns whether it was written.
     fn commit_page(&mut self, write: ConditionalPageWrite) -> bool {
-        let holds =
-            |condition: &Condition| self.store_revision(&condition.key) == condition.revision;
-        if !write.conditions.iter().all(holds) {
+        if !write
+            .conditions
+            .iter()
+            .all(|condition| self.holds(condition))
+        {
             return false;
         }
         self.apply_page(&write.key, write.page);
@@ -148,6 +150,11 @@
         }
     }
 
+    /// Whether the store holds what a condition requires.
+    pub(super) fn holds(&self, condition: &Condition) -> bool {
+        self.store_revision(&condition.key) == condition.revision
+    }
+
     /// Returns the revision of a key; 0 if it does not exist.
     fn store_revision(&self, key: &str) -> u64 {
         let last_change = self.store_log.iter().rev().find_map(|change| match change {
--- a/tests/common/simulated_cluster/own_writes.rs
+++ b/tests/common/simulated_cluster/own_writes.rs
@@ -1,7 +1,7 @@
 //! What a controller knows of its own writes: the key-value store answers them at once, so that
 //! their writer may know of them long before it, or any other controller, reads them.
 
-use super::SimulatedCluster;
+use super::{SimulatedCluster, CONTROLLERS};
 use finchwood::store::cache::CacheChange;
 use finchwood::store::KeyChange;
 use rand::Rng;
@@ -21,6 +21,15 @@
         reaches_store && has_read && self.may_act(index)
     }
 
+    /// Returns the revision of the epoch that a controller leads as far as it knows; `None` if it
+    /// does not lead, or is of a version that does not use it.
+    pub(super) fn led_epoch_revision(&self, index: usize) -> Option<u64> {
+        let controller = &self.controllers[index];
+        let epoch = controller.entered_epoch()?;
+        let leads = epoch.leader == CONTROLLERS[index] && self.fault_plan.fences_submissions();
+        leads.then_some(controller.cache.epoch_revision)
+    }
+
     /// Applies all changes from the position `from` of the store's log to the cache of the
     /// controller that has made them. It has not read the changes before them yet.
     pub(super) fn learn_own_writes(&mut self, writer: usize, from: usize) {
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -39,6 +39,8 @@
     pub(crate) heartbeats_of_deleted_machines: u32,
     /// Jobs that were accepted by a controller that had not read of the current epoch.
     pub(crate) submissions_in_earlier_epochs: u32,
+    /// Submissions to a leader that the store refused, as the epoch had changed.
+    pub(crate) refused_submissions: u32,
     /// Reports that listed a task whose job the leader had not read.
     pub(crate) listings_before_records: u32,
     /// Completed transfers of hash ranges.
@@ -63,6 +65,7 @@
         self.late_page_writes += other.late_page_writes;
         self.heartbeats_of_deleted_machines += other.heartbeats_of_deleted_machines;
         self.submissions_in_earlier_epochs += other.submissions_in_earlier_epochs;
+        self.refused_submissions += other.refused_submissions;
         self.listings_before_records += other.listings_before_records;
         self.completed_transfers += other.completed_transfers;
     }
--- a/tests/interleavings/soak.rs
+++ b/tests/interleavings/soak.rs
@@ -19,7 +19,7 @@
 const ALL_ENDED_BY_S: f64 = 1_000.0;
 
 /// A fault plan, and whether all controllers use the shard map.
-const PLANS: [(&str, FaultPlan, bool); 5] = [
+const PLANS: [(&str, FaultPlan, bool); 6] = [
     ("all faults", FaultPlan::All, false),
     (
         "new machines meet new epochs",
@@ -36,6 +36,11 @@
         FaultPlan::DeposedLeadersAcceptJobs,
         false,
     ),
+    (
+        "deposed leaders of an earlier version accept jobs",
+        FaultPlan::DeposedEarlierVersionsAcceptJobs,
+        false,
+    ),
     ("transfers of hash ranges", FaultPlan::All, true),
 ];
 
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -141,13 +141,10 @@
     );
 }
 
-/// Guards against a new leader that drops what shards list of a job before it has read the job's
-/// record: the deposed leader accepted that job and started its tasks (review, case 4).
-#[test]
-fn jobs_that_deposed_leaders_accept_run_no_task_twice() {
+/// Runs the focused seeds of a fault plan that deposes leaders.
+fn depose_leaders(plan: FaultPlan) -> Statistics {
     let mut total = Statistics::default();
     for seed in 0..FOCUSED_SEEDS {
-        let plan = FaultPlan::DeposedLeadersAcceptJobs;
         let mut cluster = SimulatedCluster::new(seed, false, plan);
         cluster.run_until(FOCUSED_UNTIL_S);
         total += cluster.statistics();
@@ -155,20 +152,41 @@
     let Statistics {
         starts,
         submissions_in_earlier_epochs,
+        refused_submissions,
         listings_before_records,
         ..
-    } = total;
+    } = &total;
     println!(
         "{starts} starts, {submissions_in_earlier_epochs} jobs accepted in earlier epochs, \
-         {listings_before_records} reports with tasks of jobs that their leader had not read"
+         {refused_submissions} submissions refused, {listings_before_records} reports with tasks of \
+         jobs that their leader had not read"
     );
-    assert!(starts > 1000, "only {starts} tasks were started");
+    assert!(*starts > 1000, "only {starts} tasks were started");
+    total
+}
+
+/// Guards against a new leader that drops what shards list of a job before it has read the job's
+/// record: the deposed leader accepted that job and started its tasks (review, case 4).
+#[test]
+fn jobs_that_deposed_leaders_accept_run_no_task_twice() {
+    let total = depose_leaders(FaultPlan::DeposedEarlierVersionsAcceptJobs);
+    let accepted = total.submissions_in_earlier_epochs;
     assert!(
-        submissions_in_earlier_epochs > 500,
-        "only {submissions_in_earlier_epochs} jobs were accepted in an earlier epoch"
+        accepted > 500,
+        "only {accepted} jobs were accepted in an earlier epoch"
     );
+    let listings = total.listings_before_records;
     assert!(
-        listings_before_records > 100,
-        "only {listings_before_records} reports listed tasks of jobs that were not read"
+        listings > 100,
+        "only {listings} reports listed tasks of jobs that were not read"
     );
 }
+
+/// Guards against a team over its limit: a deposed leader and the next one each accept a job of
+/// the team and start its tasks, as neither knows of the other's.
+#[test]
+fn two_leaders_that_accept_jobs_keep_the_limit_of_their_team() {
+    let total = depose_leaders(FaultPlan::DeposedLeadersAcceptJobs);
+    let refused = total.refused_submissions;
+    assert!(refused > 500, "only {refused} submissions were refused");
+}
--- a/tests/store/main.rs
+++ b/tests/store/main.rs
@@ -2,6 +2,7 @@
 
 mod group_commit;
 mod keys;
+mod leader_fencing;
 mod pending_writes;
 mod registry_cache;
 mod registry_pages;
