Simulated cluster: copies of commands that were carried out and answered

Changed: a fault plan keeps answered commands with starts and delivers them again once their worker has forgotten an attempt: by a forget, a new session, or with a new epoch; controllers and workers return within a second, tasks are moved or cancelled meanwhile. Copies are counted by what refuses them. In all plans a worker that starts an attempt for the second time fails the run.

A forget carries a token above that of every earlier start, a new epoch's tokens are above all earlier ones, and the worker refuses commands of an earlier session.

--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -362,7 +362,8 @@
             FaultPlan::All
             | FaultPlan::NewMachinesMeetNewEpochs
             | FaultPlan::DeposedLeadersAcceptJobs
-            | FaultPlan::DeposedEarlierVersionsAcceptJobs => WORKER_LEASE_S,
+            | FaultPlan::DeposedEarlierVersionsAcceptJobs
+            | FaultPlan::AnsweredCommandsReturn => WORKER_LEASE_S,
         };
         let controller = &mut self.controllers[index];
         let (commands, report) = controller.shard_round(now);
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -40,6 +40,9 @@
     /// The same with deposed leaders of an earlier version, which accept jobs without a condition
     /// on the epoch. The next leaders accept none, but read of these jobs late.
     DeposedEarlierVersionsAcceptJobs,
+    /// Direct commands that were carried out and answered arrive again, once their worker no longer
+    /// knows an attempt that they start. Controllers and workers are back within a second.
+    AnsweredCommandsReturn,
 }
 
 /// Machines whose heartbeats the network holds back, and what happens meanwhile and afterwards.
@@ -63,6 +66,11 @@
         )
     }
 
+    /// Whether copies of answered commands arrive.
+    pub(super) fn returns_commands(self) -> bool {
+        self == FaultPlan::AnsweredCommandsReturn
+    }
+
     /// Whether leaders accept jobs on the condition that their epoch is unchanged.
     pub(super) fn fences_submissions(self) -> bool {
         self != FaultPlan::DeposedEarlierVersionsAcceptJobs
@@ -110,6 +118,9 @@
         if self.fault_plan == FaultPlan::HeartbeatsOutliveMachines {
             return self.hold_heartbeats_and_change_leader();
         }
+        if self.fault_plan.returns_commands() {
+            return self.make_workers_forget();
+        }
         if self.fault_plan.deposes_leaders() {
             return self.make_room_and_depose_leader();
         }
@@ -179,7 +190,7 @@
     }
 
     /// Returns the index of one of the latest machines.
-    fn latest_machine(&mut self) -> usize {
+    pub(super) fn latest_machine(&mut self) -> usize {
         let count = self.workers.len();
         self.rng
             .gen_range(count.saturating_sub(LATEST_MACHINES)..count)
@@ -381,7 +392,7 @@
     }
 
     /// Cancels many jobs, so that the team has room for others.
-    fn make_room(&mut self) {
+    pub(super) fn make_room(&mut self) {
         for number in 0..JOB_NUMBERS {
             if self.rng.gen_bool(0.5) {
                 self.cancel(number);
@@ -511,7 +522,8 @@
             FaultPlan::All
             | FaultPlan::HeartbeatsOutliveMachines
             | FaultPlan::DeposedLeadersAcceptJobs
-            | FaultPlan::DeposedEarlierVersionsAcceptJobs => {}
+            | FaultPlan::DeposedEarlierVersionsAcceptJobs
+            | FaultPlan::AnsweredCommandsReturn => {}
             FaultPlan::NewMachinesMeetNewEpochs => self.delay_reading_of_leader(),
         }
         let controller = &mut self.controllers[index];
--- a/tests/common/simulated_cluster/mod.rs
+++ b/tests/common/simulated_cluster/mod.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod network;
 mod own_writes;
+mod returning_commands;
 #[path = "../settings.rs"]
 mod settings_text;
 mod shard_transfers;
@@ -34,6 +35,8 @@
 use network::Packet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use returning_commands::{AnsweredCommand, LastReturn};
+pub(crate) use returning_commands::{CopyKind, QuickReturn};
 use settings_text::SETTINGS;
 use state_store::{ConditionalFinishWrite, ConditionalShardMapWrite};
 pub(crate) use statistics::Statistics;
@@ -105,6 +108,11 @@
     recovery: Option<PendingRecovery>,
     /// The machines whose heartbeats are held back, by the fault plan of that name.
     held_heartbeats: Option<HeldHeartbeats>,
+    /// Copies of direct commands that were carried out and answered, by the fault plan of that
+    /// name.
+    answered_commands: Vec<AnsweredCommand>,
+    /// When a controller or a worker was last back within a second, by the same fault plan.
+    last_return: Option<LastReturn>,
     /// When the leader is to be deposed; `None` if that is not planned.
     leader_deposed_at: Option<f64>,
     /// The last leader that a new epoch has excluded, by the fault plan of that name.
@@ -152,6 +160,8 @@
             mass_cancellation_at: None,
             recovery: None,
             held_heartbeats: None,
+            answered_commands: Vec::new(),
+            last_return: None,
             leader_deposed_at: None,
             deposed_leader: None,
             faults_ended: false,
@@ -180,6 +190,7 @@
         while self.now < end_s {
             self.now += STEP_S;
             self.deliver_due_packets();
+            self.return_answered_commands();
             self.carry_out_delayed_writes();
             for index in 0..self.workers.len() {
                 self.worker_round(index);
--- a/tests/common/simulated_cluster/network.rs
+++ b/tests/common/simulated_cluster/network.rs
@@ -241,7 +241,7 @@
 
     /// Passes a direct command to its worker, which ignores one with an older fencing token or
     /// for another session. A paused worker receives it after the pause.
-    fn deliver_direct_command(&mut self, command: DirectCommandPacket) {
+    pub(super) fn deliver_direct_command(&mut self, command: DirectCommandPacket) {
         let now = self.now;
         let worker = &mut self.workers[command.worker];
         if !worker.alive || now < worker.drops_incoming_until {
@@ -261,6 +261,7 @@
             started = worker.apply_commands(&command.batch.commands, &self.gangs, now);
         }
         let heartbeat = worker.heartbeat();
+        self.keep_answered_command(&command);
         self.record_starts(command.worker, &started);
         self.send(Packet::CommandResult(CommandResult {
             to: command.from,
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -1,5 +1,7 @@
 //! Counts of faults and progress. They show that a run had as many faults as intended.
 
+use super::{CopyKind, QuickReturn};
+use std::collections::BTreeMap;
 use std::ops::AddAssign;
 
 /// Counts of one run, or the sums over several runs.
@@ -43,6 +45,15 @@
     pub(crate) refused_submissions: u32,
     /// Reports that listed a task whose job the leader had not read.
     pub(crate) listings_before_records: u32,
+    /// Copies of answered commands that reached their workers again after these had forgotten an
+    /// attempt.
+    pub(crate) returned_commands: BTreeMap<CopyKind, u32>,
+    /// Those of them that arrived within a second after a controller or a worker was back.
+    pub(crate) returned_after_quick_return: BTreeMap<QuickReturn, u32>,
+    /// Starts in such copies of tasks that another attempt runs.
+    pub(crate) returned_starts_of_moved: u32,
+    /// Starts in such copies of tasks whose job is cancelled.
+    pub(crate) returned_starts_of_cancelled: u32,
     /// Completed transfers of hash ranges.
     pub(crate) completed_transfers: u64,
 }
@@ -67,6 +78,14 @@
         self.submissions_in_earlier_epochs += other.submissions_in_earlier_epochs;
         self.refused_submissions += other.refused_submissions;
         self.listings_before_records += other.listings_before_records;
+        for (kind, count) in &other.returned_commands {
+            *self.returned_commands.entry(*kind).or_default() += count;
+        }
+        for (kind, count) in &other.returned_after_quick_return {
+            *self.returned_after_quick_return.entry(*kind).or_default() += count;
+        }
+        self.returned_starts_of_moved += other.returned_starts_of_moved;
+        self.returned_starts_of_cancelled += other.returned_starts_of_cancelled;
         self.completed_transfers += other.completed_transfers;
     }
 }
--- a/tests/common/simulated_cluster/workers.rs
+++ b/tests/common/simulated_cluster/workers.rs
@@ -60,6 +60,8 @@
     /// For each task of a gang, when its image is fetched, and after that since when it waits
     /// for the other tasks.
     pub(super) gang_ready_at: HashMap<String, f64>,
+    /// The attempts that it has started, by task.
+    attempts_started: HashSet<(String, u64)>,
 }
 
 impl Worker {
@@ -90,14 +92,25 @@
     /// Kills all tasks and begins a new session if the lease has expired.
     pub(super) fn expire_lease(&mut self, now: f64) {
         if now - self.lease_renewed_at > WORKER_LEASE_S {
-            self.tasks.clear();
-            self.session += 1;
-            self.sequence = 0;
-            self.lease_renewed_at = now;
-            self.awaited_sequence = None;
+            self.begin_session(now);
         }
     }
 
+    /// Kills all tasks and begins a new session.
+    pub(super) fn begin_session(&mut self, now: f64) {
+        self.tasks.clear();
+        self.session += 1;
+        self.sequence = 0;
+        self.lease_renewed_at = now;
+        self.awaited_sequence = None;
+    }
+
+    /// Whether it has an attempt of a task in any state.
+    pub(super) fn knows(&self, id: &str, attempt: u64) -> bool {
+        let task = self.tasks.get(id);
+        task.is_some_and(|task| task.attempt == attempt)
+    }
+
     /// Carries out commands and returns the tasks that were started. Tasks of `gangs` begin
     /// with fetching their image.
     pub(super) fn apply_commands(
@@ -134,6 +147,7 @@
             }
         }
         let task = Task::parse(id).expect("a valid task id");
+        self.check_starts_once(id, attempt);
         let state = if gangs.contains(&task.job) {
             TaskState::Fetching
         } else {
@@ -151,6 +165,12 @@
         Some(task)
     }
 
+    /// Asserts that an attempt was not started before.
+    fn check_starts_once(&mut self, id: &str, attempt: u64) {
+        let is_first = self.attempts_started.insert((id.into(), attempt));
+        assert!(is_first, "{id}@{attempt} starts again on {}", self.id);
+    }
+
     /// Stops an attempt if it is active.
     fn stop(&mut self, id: &str, attempt: u64) {
         if let Some(task) = self.tasks.get_mut(id) {
--- a/tests/interleavings/soak.rs
+++ b/tests/interleavings/soak.rs
@@ -19,7 +19,7 @@
 const ALL_ENDED_BY_S: f64 = 1_000.0;
 
 /// A fault plan, and whether all controllers use the shard map.
-const PLANS: [(&str, FaultPlan, bool); 6] = [
+const PLANS: [(&str, FaultPlan, bool); 8] = [
     ("all faults", FaultPlan::All, false),
     (
         "new machines meet new epochs",
@@ -41,6 +41,16 @@
         FaultPlan::DeposedEarlierVersionsAcceptJobs,
         false,
     ),
+    (
+        "answered commands return",
+        FaultPlan::AnsweredCommandsReturn,
+        false,
+    ),
+    (
+        "answered commands return during transfers",
+        FaultPlan::AnsweredCommandsReturn,
+        true,
+    ),
     ("transfers of hash ranges", FaultPlan::All, true),
 ];
 
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -1,7 +1,7 @@
 //! No interleaving of messages, faults and elections runs a task twice, and all jobs end after
 //! the faults have ended.
 
-use crate::simulated_cluster::{FaultPlan, SimulatedCluster, Statistics};
+use crate::simulated_cluster::{CopyKind, FaultPlan, QuickReturn, SimulatedCluster, Statistics};
 use crate::{ALL_ENDED_BY_S, FAULTS_UNTIL_S};
 
 /// The number of runs with the focused fault plan, and how long each lasts, in simulated
@@ -190,3 +190,44 @@
     let refused = total.refused_submissions;
     assert!(refused > 500, "only {refused} submissions were refused");
 }
+
+/// Guards against a late copy of a start that was carried out and answered: it would run an
+/// attempt again that its worker has forgotten, beside a later attempt, or of a cancelled job.
+#[test]
+fn late_copies_of_answered_starts_start_nothing() {
+    let mut total = Statistics::default();
+    for seed in 0..FOCUSED_SEEDS {
+        let plan = FaultPlan::AnsweredCommandsReturn;
+        let mut cluster = SimulatedCluster::new(seed, false, plan);
+        cluster.run_until(FOCUSED_UNTIL_S);
+        total += cluster.statistics();
+    }
+    let (moved, cancelled) = (
+        total.returned_starts_of_moved,
+        total.returned_starts_of_cancelled,
+    );
+    let copies = &total.returned_commands;
+    let after_return = &total.returned_after_quick_return;
+    println!(
+        "{copies:?} copies returned, {after_return:?} of them within a second after a return,"
+    );
+    println!("with starts of {moved} moved and {cancelled} cancelled tasks");
+    for kind in [
+        CopyKind::LaterSession,
+        CopyKind::LaterEpoch,
+        CopyKind::LaterToken,
+    ] {
+        let count = copies.get(&kind).copied().unwrap_or(0);
+        assert!(count > 300, "only {count} copies: {kind:?}");
+    }
+    for kind in [
+        QuickReturn::SameEpoch,
+        QuickReturn::NewEpoch,
+        QuickReturn::NewSession,
+    ] {
+        let count = after_return.get(&kind).copied().unwrap_or(0);
+        assert!(count > 100, "only {count} copies after a return: {kind:?}");
+    }
+    assert!(moved > 100, "only {moved} tasks had moved");
+    assert!(cancelled > 100, "only {cancelled} tasks were cancelled");
+}
