A leader that is shown a task of an unread job assigns nothing before its next reading

Cause: callers would see a team over its limit while controllers of an earlier version, whose leaders accept jobs without a condition on their epoch, are deposed. The next leader keeps what is listed of such a job, but does not know whose limit it counts towards until it reads the record.

Changed: such a listing shows that the cache is older than what the shards run. The leader assigns nothing until a reading that began after the listing has arrived, and asks for one at once. A record that is missing then does not exist and delays nothing. Without such listings nothing changes.

Ruled out: a wait of all freed tasks for a reading after every report would cost each change of epoch a poll, and an outage of the store right after one all starts.

--- a/src/controller/leader_round.rs
+++ b/src/controller/leader_round.rs
@@ -40,6 +40,9 @@
             .reconcile(&self.cache, &|id| deletions.is_terminated(id));
         self.leader
             .set_gangs_allowed(self.cache.all_members_support_gangs());
+        if self.leader.awaits_reading() {
+            self.store_sync.request_poll();
+        }
         let changed_shards = self
             .leader
             .assign_tasks(&self.cache, now, || clock::now() < deadline);
--- a/src/controller/watch_events.rs
+++ b/src/controller/watch_events.rs
@@ -46,6 +46,7 @@
         self.cache.load(entries);
         self.log_dangling_references();
         self.store_sync.record_success(read_started_at);
+        self.leader.record_reading(read_started_at);
         self.apply_epoch_change(now);
         let jobs: Vec<JobId> = self.cache.jobs.keys().cloned().collect();
         for id in jobs {
@@ -72,6 +73,7 @@
             tracing::info!("the state service answers again");
         }
         self.store_sync.record_success(read_started_at);
+        self.leader.record_reading(read_started_at);
     }
 
     /// Notifies the shard and the leader of a change in the cache.
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -73,6 +73,9 @@
         now: Seconds,
         mut has_time: impl FnMut() -> bool,
     ) -> BTreeSet<String> {
+        if self.awaits_reading() {
+            return BTreeSet::new();
+        }
         let shards_with_new_orders = self.update_gangs(cache, now);
         if self.shards.is_empty() {
             return shards_with_new_orders;
--- a/src/scheduler/shard_reports.rs
+++ b/src/scheduler/shard_reports.rs
@@ -54,7 +54,7 @@
             self.unread_jobs.remove_shard(&shard);
         }
         for status in report.assigned {
-            self.apply_assigned_task(&shard, status, cache);
+            self.apply_listed_task(&shard, status, cache, now);
         }
         for removed in report.removed {
             self.apply_removed_task(&shard, removed, now);
@@ -155,6 +155,23 @@
         }
     }
 
+    /// Applies the status of a task that a shard lists as assigned to it, or keeps it until the
+    /// task's job is read.
+    fn apply_listed_task(
+        &mut self,
+        shard: &Arc<str>,
+        status: AssignedTaskStatus,
+        cache: &StoreCache,
+        now: Seconds,
+    ) {
+        if self.jobs.contains_key(&status.task.job) {
+            self.apply_assigned_task(shard, status, cache);
+        } else {
+            // Guard: the report is acknowledged, and the shard does not list the task again.
+            self.keep_until_read(shard, status, cache, now);
+        }
+    }
+
     /// Applies the status of a task that a shard lists as assigned to it.
     pub(super) fn apply_assigned_task(
         &mut self,
@@ -164,8 +181,7 @@
     ) {
         let index = status.task.index;
         let Some(entry) = self.jobs.get_mut(&status.task.job) else {
-            // Guard: the report is acknowledged, and the shard does not list the task again.
-            return self.keep_until_read(shard, status, cache);
+            return;
         };
         // A task that the job does not have would count towards its completion.
         if index >= entry.spec.task_count {
--- a/src/scheduler/unread_jobs.rs
+++ b/src/scheduler/unread_jobs.rs
@@ -3,8 +3,14 @@
 //! A shard may list such a task: a controller accepts a job and starts its tasks before the
 //! leader reads the record. The report is acknowledged, so that the shard does not list the task
 //! again. The listing is therefore kept, and applied as soon as the record is read.
+//!
+//! Such a listing also shows that the cache is older than what the shards run. Until the leader
+//! has read all that was committed before the listing arrived, it assigns nothing: the listed task
+//! counts towards the limit of a team that it doesn't know. A record that is still missing then
+//! does not exist, and delays nothing.
 
 use super::Leader;
+use crate::clock::Seconds;
 use crate::shard::AssignedTaskStatus;
 use crate::store::cache::StoreCache;
 use crate::wire::{JobId, Task};
@@ -22,6 +28,10 @@
 #[derive(Debug, Default)]
 pub(super) struct UnreadJobs {
     by_job: BTreeMap<JobId, Vec<Listing>>,
+    /// When a task of a job without listings was last listed.
+    listed_at: Option<Seconds>,
+    /// When the last reading of the key-value store began.
+    read_started_at: Option<Seconds>,
 }
 
 impl UnreadJobs {
@@ -30,8 +40,17 @@
         self.by_job.contains_key(job)
     }
 
+    /// Whether the cache may lack records that were committed before a listed task was listed.
+    fn awaits_reading(&self) -> bool {
+        let is_listed = !self.by_job.is_empty();
+        is_listed && self.listed_at > self.read_started_at
+    }
+
     /// Keeps what a shard lists of a task, in place of what it listed before.
-    fn add(&mut self, shard: &Arc<str>, status: AssignedTaskStatus) {
+    fn add(&mut self, shard: &Arc<str>, status: AssignedTaskStatus, now: Seconds) {
+        if !self.contains(&status.task.job) {
+            self.listed_at = Some(now);
+        }
         let listings = self.by_job.entry(status.task.job.clone()).or_default();
         listings.retain(|listing| {
             listing.shard != *shard || listing.status.task.index != status.task.index
@@ -76,6 +95,7 @@
     /// Removes all listings.
     pub(super) fn clear(&mut self) {
         self.by_job.clear();
+        self.listed_at = None;
     }
 }
 
@@ -86,13 +106,14 @@
         shard: &Arc<str>,
         status: AssignedTaskStatus,
         cache: &StoreCache,
+        now: Seconds,
     ) {
         if !cache.jobs.contains_key(&status.task.job) {
             self.events.listed_unread.record(|| {
                 let (task, attempt) = (&status.task, status.attempt);
                 format!("{task}@{attempt} {shard}")
             });
-            self.unread_jobs.add(shard, status);
+            self.unread_jobs.add(shard, status, now);
         }
     }
 
@@ -102,4 +123,15 @@
             self.apply_assigned_task(&shard, status, cache);
         }
     }
+
+    /// Records that the cache shows every write that was committed before `started_at`.
+    pub fn record_reading(&mut self, started_at: Seconds) {
+        self.unread_jobs.read_started_at = Some(started_at);
+    }
+
+    /// Whether shards list tasks of jobs that may have been accepted since the last reading: such
+    /// a leader assigns nothing.
+    pub fn awaits_reading(&self) -> bool {
+        self.unread_jobs.awaits_reading()
+    }
 }
--- a/tests/common/simulated_cluster/checks.rs
+++ b/tests/common/simulated_cluster/checks.rs
@@ -16,6 +16,9 @@
         self.statistics.starts += started.len() as u32;
         for task in started {
             self.check_runs_once(task);
+            let finished = self.finished.get(&task.job);
+            let is_finished = finished.is_some_and(|tasks| tasks.contains(&task.index));
+            self.statistics.starts_of_finished += u32::from(is_finished);
             let spec = &self.specs[&task.job];
             if spec.job_kind == JobKind::Gang {
                 self.check_gang(worker, task);
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -129,6 +129,7 @@
     /// Reads and applies the changes in the log of the key-value store since the last read.
     fn read_store(&mut self, log: &[KeyChange], now: f64) {
         self.last_synced_at = now;
+        self.leader.record_reading(now);
         if self.changes_read == 0 {
             return self.read_snapshot(log, now);
         }
--- a/tests/common/simulated_cluster/faults.rs
+++ b/tests/common/simulated_cluster/faults.rs
@@ -19,7 +19,7 @@
 const LONGEST_HOLD_S: f64 = WORKER_LEASE_S / 2.0;
 
 /// The longest time for which the network holds back the direct commands of a new leader.
-const MAX_COMMAND_HOLD_S: f64 = 2.0;
+const MAX_COMMAND_HOLD_S: f64 = 5.0;
 
 /// How many machines the focused fault plan takes away together.
 const MACHINES_TAKEN: usize = 3;
@@ -66,6 +66,15 @@
         )
     }
 
+    /// The share of a worker's rounds in which it completes a task.
+    pub(super) fn completed_share(self) -> f64 {
+        if self.deposes_leaders() {
+            0.3
+        } else {
+            0.05
+        }
+    }
+
     /// Whether copies of answered commands arrive.
     pub(super) fn returns_commands(self) -> bool {
         self == FaultPlan::AnsweredCommandsReturn
@@ -377,7 +386,7 @@
     /// to the other controllers are refused. It goes on acting until it reads of the new epoch.
     fn depose_leader(&mut self) {
         let controller = self.leader_index();
-        let lag_s = self.rng.gen_range(1.0..MEMBER_LEASE_S / 2.0);
+        let lag_s = self.rng.gen_range(1.0..0.75 * MEMBER_LEASE_S);
         self.delay_reading_by(controller, lag_s);
         self.remove_member(controller);
         self.deposed_leader = Some(DeposedLeader {
--- a/tests/common/simulated_cluster/statistics.rs
+++ b/tests/common/simulated_cluster/statistics.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Statistics {
     /// Tasks started by workers.
     pub(crate) starts: u32,
+    /// Tasks started that were committed as finished.
+    pub(crate) starts_of_finished: u32,
     /// Finished tasks committed to the key-value store.
     pub(crate) committed: u32,
     /// Machines that were deleted and replaced.
@@ -61,6 +63,7 @@
 impl AddAssign<&Statistics> for Statistics {
     fn add_assign(&mut self, other: &Statistics) {
         self.starts += other.starts;
+        self.starts_of_finished += other.starts_of_finished;
         self.committed += other.committed;
         self.replaced_machines += other.replaced_machines;
         self.partitioned_controllers += other.partitioned_controllers;
--- a/tests/common/simulated_cluster/workers.rs
+++ b/tests/common/simulated_cluster/workers.rs
@@ -294,7 +294,7 @@
         if now < worker.paused_until {
             return;
         }
-        if self.rng.gen_bool(0.05) {
+        if self.rng.gen_bool(self.fault_plan.completed_share()) {
             self.complete_array_task(index);
         }
         if now >= self.workers[index].next_heartbeat_at {
--- a/tests/control_plane/unread_jobs.rs
+++ b/tests/control_plane/unread_jobs.rs
@@ -130,6 +130,11 @@
         self.round_with(report, job)
     }
 
+    /// Reads all that was committed so far.
+    fn read_all(&mut self) {
+        self.leader.record_reading(self.now);
+    }
+
     /// Reads the record of a job that was accepted in `epoch`.
     fn read(&mut self, spec: &Arc<JobSpec>, epoch: u64) {
         let revision = 900 + self.cache.jobs.len() as u64;
@@ -140,6 +145,7 @@
         );
         self.shard.job_changed(&spec.id, &self.cache);
         self.leader.job_changed(&spec.id, &self.cache);
+        self.read_all();
     }
 }
 
@@ -246,6 +252,7 @@
         successor.hear(index + 1, tasks);
     }
     successor.round("wk-2");
+    successor.read_all();
     let earlier = job_spec("wk-2", 1, |_| {});
     successor.read(&earlier, EARLIER_EPOCH);
     let assigned: usize = (0..2).map(|_| successor.round("wk-2")).max().unwrap_or(0);
@@ -263,3 +270,33 @@
                 || status.phase == TaskPhase::Running),
     );
 }
+
+/// Guards against a team over its limit: its leader does not know that listed tasks of a job that
+/// it has not read belong to the same team.
+#[test]
+fn nothing_is_assigned_until_the_job_of_a_listed_task_could_be_read() {
+    let unread = job_spec("wk-1", 1, |_| {});
+    let on_machines = started_by_deposed_leader(&[&unread]);
+    let mut successor = Successor::new();
+    let other = job_spec("wk-2", 1, |_| {});
+    for (index, tasks) in on_machines.iter().enumerate() {
+        successor.hear(index + 1, tasks);
+    }
+    successor.round("wk-2");
+    // The answer to a reading that began earlier shows another job only.
+    let revision = 950;
+    successor
+        .cache
+        .put("fw/j/wk-2", record_of(&other, EPOCH), revision);
+    successor.leader.job_changed(&other.id, &successor.cache);
+    successor.leader.record_reading(0.5);
+    for _ in 0..3 {
+        assert_eq!(
+            successor.round("wk-2"),
+            0,
+            "the listed task may be of the same team"
+        );
+    }
+    successor.read(&unread, EARLIER_EPOCH);
+    assert_eq!(successor.round("wk-2"), 1);
+}
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -154,11 +154,12 @@
         submissions_in_earlier_epochs,
         refused_submissions,
         listings_before_records,
+        starts_of_finished,
         ..
     } = &total;
     println!(
         "{starts} starts, {submissions_in_earlier_epochs} jobs accepted in earlier epochs, \
-         {refused_submissions} submissions refused, {listings_before_records} reports with tasks of \
+         {refused_submissions} submissions refused, {starts_of_finished} starts of finished tasks, {listings_before_records} reports with tasks of \
          jobs that their leader had not read"
     );
     assert!(*starts > 1000, "only {starts} tasks were started");
