A leader commits finished tasks only in the epoch that it leads

Cause: a finished task ran again after a change of leader. A deposed leader that has not read of the new epoch commits a task's end, and its owner lets the worker forget it. The machine's new owner hears a worker without the task; the next leader, whose reading lags, finds it nowhere and assigns it. No rule of the page is broken, as it is on no other machine, but it runs a second time.

Changed: commits of finished tasks carry the condition on the epoch that pages of the registry and a leader's submissions carry. What is refused is committed again after a sixth of a report interval, by whoever leads then: a worker keeps a result until its commit is read.

Cost: no further writes; the commits under way when the epoch changes are sent twice.

--- a/src/controller/completions.rs
+++ b/src/controller/completions.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::FinishedTasks;
 use crate::store::cache::CachedJob;
 use crate::store::keys::job_key;
+use crate::store::leader_fencing::completion_conditions;
 use crate::store::pending_writes::{PendingWrites, WriteId};
 use crate::store::records::JobRecord;
 use crate::store::{CommitOutcome, Condition, ConditionalWrite, WriteClass, WriteOp, BULK_SHARE};
@@ -54,7 +55,9 @@
                 self.leader.record_commit_outcome(&completion.job, now, now);
                 continue;
             };
-            let Transaction { conditions, ops } = completion_transaction(&completion, job, &limits);
+            let epoch_revision = self.cache.epoch_revision;
+            let Transaction { conditions, ops } =
+                completion_transaction(&completion, job, epoch_revision, &limits);
             let write_id = self.pending_completions.next_id();
             let purpose = WritePurpose::Completion(completion.job.clone(), write_id);
             let write = ConditionalWrite {
@@ -106,13 +109,14 @@
 fn completion_transaction(
     completion: &FinishedTasks,
     job: &CachedJob,
+    epoch_revision: u64,
     limits: &StateLimits,
 ) -> Transaction {
     let mut finished = job.finished.clone();
     for &task in &completion.tasks {
         finished.add(task);
     }
-    let mut conditions = vec![Condition::new(job_key(&completion.job), job.revision)];
+    let mut conditions = completion_conditions(&completion.job, job.revision, Some(epoch_revision));
     if finished.len() == job.record.task_count {
         return Transaction {
             conditions,
--- a/src/store/leader_fencing.rs
+++ b/src/store/leader_fencing.rs
@@ -19,6 +19,20 @@
     conditions
 }
 
+/// Returns the conditions under which a leader commits finished tasks of a job: the job's record is
+/// at `job_revision` and, with `led_epoch_revision`, the epoch is still the one that it leads.
+pub fn completion_conditions(
+    job: &str,
+    job_revision: u64,
+    led_epoch_revision: Option<u64>,
+) -> Vec<Condition> {
+    let mut conditions = vec![Condition::new(job_key(job), job_revision)];
+    // Guard: a deposed leader would let the worker forget a task whose end the next leader has not
+    // read. The next leader would find the task nowhere, and run it again.
+    conditions.extend(led_epoch_revision.map(|revision| Condition::new(EPOCH_KEY, revision)));
+    conditions
+}
+
 /// Whether a submission failed only because the epoch has changed: the job may still be accepted.
 pub fn failed_by_epoch_only(job: &str, failed_keys: &[String]) -> bool {
     let failed = |key: &str| failed_keys.iter().any(|failed| failed == key);
--- a/tests/common/simulated_cluster/controllers.rs
+++ b/tests/common/simulated_cluster/controllers.rs
@@ -12,6 +12,7 @@
 use finchwood::scheduler::{FinishedTasks, Leader};
 use finchwood::shard::{DirectCommand, Orders, Shard, ShardReport, Timing};
 use finchwood::store::cache::{CacheChange, StoreCache};
+use finchwood::store::leader_fencing::completion_conditions;
 use finchwood::store::records::Epoch;
 use finchwood::store::{KeyChange, KeyValue};
 use finchwood_sharding::transfer::Transfers;
@@ -434,8 +435,9 @@
         let Some(job) = self.controllers[index].cache.jobs.get(&finish.job) else {
             return;
         };
+        let led_epoch_revision = self.led_epoch_revision(index);
         let write = ConditionalFinishWrite {
-            expected_revision: job.revision,
+            conditions: completion_conditions(&finish.job, job.revision, led_epoch_revision),
             job: finish.job,
             tasks: finish.tasks,
         };
--- a/tests/common/simulated_cluster/jobs.rs
+++ b/tests/common/simulated_cluster/jobs.rs
@@ -69,6 +69,10 @@
         }
         self.next_job += 1;
         let (job_kind, priority) = match number % 6 {
+            // Arrays are the only jobs that end by themselves.
+            _ if self.fault_plan.deposes_leaders() && number.is_multiple_of(2) => {
+                (JobKind::Array, Priority::Low)
+            }
             0 | 3 => (JobKind::Service, Priority::Prod),
             1 | 2 => (JobKind::Gang, Priority::Standard),
             _ => (JobKind::Array, Priority::Low),
--- a/tests/common/simulated_cluster/mod.rs
+++ b/tests/common/simulated_cluster/mod.rs
@@ -93,8 +93,6 @@
     finished: HashMap<Arc<str>, HashSet<u32>>,
     /// When the cancellation of each cancelled job was confirmed.
     cancelled: HashMap<Arc<str>, f64>,
-    /// The revision of each job's record.
-    job_revisions: HashMap<Arc<str>, u64>,
     /// Commits of finished tasks that are carried out late and whose writer gets no response.
     delayed_finishes: Vec<Scheduled<ConditionalFinishWrite>>,
     /// Writes of registry pages that are carried out late and whose writer gets no response.
@@ -153,7 +151,6 @@
             completed_gangs: HashSet::new(),
             finished: HashMap::new(),
             cancelled: HashMap::new(),
-            job_revisions: HashMap::new(),
             delayed_finishes: Vec::new(),
             delayed_page_writes: Vec::new(),
             store_outage_until: 0.0,
--- a/tests/common/simulated_cluster/state_store.rs
+++ b/tests/common/simulated_cluster/state_store.rs
@@ -4,13 +4,13 @@
 use super::{take_due, SimulatedCluster};
 use finchwood::finished::TaskSet;
 use finchwood::store::records::JobRecord;
-use finchwood::store::KeyChange;
+use finchwood::store::{Condition, KeyChange};
 use finchwood_sharding::shard_map::ShardMap;
 use std::sync::Arc;
 
-/// A commit of finished tasks, on the condition that the job's record is unchanged.
+/// A commit of finished tasks under conditions.
 pub(super) struct ConditionalFinishWrite {
-    pub(super) expected_revision: u64,
+    pub(super) conditions: Vec<Condition>,
     pub(super) job: Arc<str>,
     pub(super) tasks: Vec<u32>,
 }
@@ -26,9 +26,6 @@
     /// Writes a value without conditions.
     pub(super) fn put(&mut self, key: &str, value: serde_json::Value) {
         self.revision += 1;
-        if let Some(id) = key.strip_prefix("fw/j/") {
-            self.job_revisions.insert(id.into(), self.revision);
-        }
         self.store_log.push(KeyChange::Put {
             key: key.into(),
             value,
@@ -57,15 +54,15 @@
         self.carry_out_delayed_page_writes();
     }
 
-    /// Commits finished tasks if the condition holds. The commit of a job's last task also
+    /// Commits finished tasks if the conditions hold. The commit of a job's last task also
     /// marks the job's record as done.
     pub(super) fn commit_finish(&mut self, finish: ConditionalFinishWrite) {
         let ConditionalFinishWrite {
-            expected_revision,
+            conditions,
             job,
             tasks,
         } = finish;
-        if self.job_revisions.get(&job) != Some(&expected_revision) {
+        if !conditions.iter().all(|condition| self.holds(condition)) {
             return;
         }
         self.check_finish(&job);
--- a/tests/interleavings/tasks_run_at_most_once.rs
+++ b/tests/interleavings/tasks_run_at_most_once.rs
@@ -192,6 +192,25 @@
     assert!(refused > 500, "only {refused} submissions were refused");
 }
 
+/// Guards against a finished task that runs again: the deposed leader commits its end and lets the
+/// worker forget it, and the next leader has not read that.
+#[test]
+fn tasks_that_a_deposed_leader_finishes_do_not_run_again() {
+    let mut total = Statistics::default();
+    for seed in 0..4 * FOCUSED_SEEDS {
+        let plan = FaultPlan::DeposedLeadersAcceptJobs;
+        let mut cluster = SimulatedCluster::new(seed, false, plan);
+        cluster.run_until(FOCUSED_UNTIL_S);
+        total += cluster.statistics();
+    }
+    assert!(
+        total.committed > 1000,
+        "only {} tasks ended",
+        total.committed
+    );
+    assert_eq!(total.starts_of_finished, 0);
+}
+
 /// Guards against a late copy of a start that was carried out and answered: it would run an
 /// attempt again that its worker has forgotten, beside a later attempt, or of a cancelled job.
 #[test]
