Submissions wait for the next epoch once one was refused in the last

Changed: after the first refusal further submissions wait for the reading of the new epoch, and commits of finished tasks pause. The time limit of a submission begins anew when it is sent again.

--- a/src/controller/completions.rs
+++ b/src/controller/completions.rs
@@ -37,6 +37,10 @@
     /// Commits the finished tasks of jobs. If all tasks of a job are finished, its record is
     /// marked as done; otherwise the chunks that contain the finished tasks are written.
     pub(super) fn commit_finished(&mut self, now: Seconds) {
+        // The writes would be refused, and count against the write rate.
+        if self.membership.has_epoch_ended(self.cache.epoch_revision) {
+            return;
+        }
         // Only a few commits are in flight at a time: the write rate limits them, and the
         // last commit of a job must not wait for the progress commits of other jobs.
         let limits = self.settings.params.state.clone();
--- a/src/controller/node_membership.rs
+++ b/src/controller/node_membership.rs
@@ -20,6 +20,9 @@
     epoch_stale_since: Option<Seconds>,
     /// Whether a proposal of an epoch is in progress.
     proposal_pending: bool,
+    /// The revision of the latest epoch of which the key-value store has refused a write, as a newer
+    /// epoch exists.
+    ended_epoch_revision: Option<u64>,
 }
 
 impl NodeMembership {
@@ -32,9 +35,20 @@
             lease: None,
             epoch_stale_since: None,
             proposal_pending: false,
+            ended_epoch_revision: None,
         }
     }
 
+    /// Records that the epoch at this revision has ended, though the next one may not be read yet.
+    pub(super) fn record_epoch_end(&mut self, revision: u64) {
+        self.ended_epoch_revision = Some(revision);
+    }
+
+    /// Whether the epoch at this revision is known to have ended.
+    pub(super) fn has_epoch_ended(&self, revision: u64) -> bool {
+        self.ended_epoch_revision == Some(revision)
+    }
+
     /// Returns how long the process has run, in seconds.
     pub(super) fn uptime(&self, now: Seconds) -> Seconds {
         now - self.started_at
--- a/src/controller/submissions.rs
+++ b/src/controller/submissions.rs
@@ -53,9 +53,9 @@
 /// A submission that is being committed, and the responders that wait for it.
 pub(super) struct PendingSubmission {
     record: JobRecord,
-    deadline: Seconds,
-    /// Whether its commit proves that this node still led then, as it did when it sent the write.
-    fenced: bool,
+    /// The revision of the epoch that this node led when it sent the write, and still led at the
+    /// commit; `None` if it did not lead.
+    led_epoch_revision: Option<u64>,
     pub(super) responders: Vec<Responder>,
 }
 
@@ -114,6 +114,15 @@
                 TOO_MANY_SUBMISSIONS,
             );
         }
+        // The write would be refused, and count against the write rate.
+        if self.membership.has_epoch_ended(self.cache.epoch_revision) {
+            let request = ReadRequest::Submit {
+                spec,
+                responder,
+                deadline,
+            };
+            return self.wait_for_fresh_read(request, now);
+        }
         self.write_submission(id, spec, responder, deadline, now);
     }
 
@@ -150,8 +159,7 @@
         }
         let pending = PendingSubmission {
             record,
-            deadline,
-            fenced: led_epoch_revision.is_some(),
+            led_epoch_revision,
             responders: vec![responder],
         };
         self.job_requests.submissions.insert(id, pending);
@@ -234,6 +242,9 @@
                 }
             }
             CommitOutcome::Conflict(keys) if failed_by_epoch_only(&id, &keys) => {
+                if let Some(revision) = pending.led_epoch_revision {
+                    self.membership.record_epoch_end(revision);
+                }
                 self.submit_after_fresh_read(pending, now);
             }
             CommitOutcome::Conflict(_) => {
@@ -250,7 +261,8 @@
     }
 
     /// Submits a job again once this node has read of the epoch in which it no longer leads, or
-    /// leads again.
+    /// leads again. The time limit begins anew, as reading takes a part of it; each further
+    /// conflict of this kind takes a further epoch.
     fn submit_after_fresh_read(&mut self, pending: PendingSubmission, now: Seconds) {
         let Some(spec) = pending.record.spec else {
             return send_not_committed(pending.responders);
@@ -259,7 +271,7 @@
             let request = ReadRequest::Submit {
                 spec: spec.clone(),
                 responder,
-                deadline: pending.deadline,
+                deadline: now + REQUEST_TIMEOUT,
             };
             self.wait_for_fresh_read(request, now);
         }
@@ -283,7 +295,7 @@
         }
         // Guard: this node began to lead after it sent the write, and may have been deposed before
         // the commit. It takes in the record with its next reading.
-        if pending.fenced || !self.is_leader() {
+        if pending.led_epoch_revision.is_some() || !self.is_leader() {
             self.cache
                 .put(&job_key(id), to_value(&pending.record), revision);
             self.apply_job_change(id);
