Test: submissions to a leader whose epoch has ended are accepted in the next

Changed: a test with real processes writes the next epoch itself and submits to both controllers at once, twenty times; the stand-in for the store counts transactions that fail as the epoch has changed. The users get 201, 200 or 503, no accepted job is unknown, all are done, none runs twice.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -538,3 +538,45 @@
         .ran_twice
         .is_empty());
 }
+
+/// Guards against users who are told of a job that nobody has accepted, or whose job is lost: the
+/// store refuses what a leader accepts after its epoch has ended, until it has read of the next.
+#[test]
+fn submissions_to_a_leader_whose_epoch_has_ended_are_accepted_in_the_next() {
+    const EPOCHS: u32 = 20;
+    let activity = Arc::new(Mutex::new(WorkerActivity::default()));
+    let cluster = Cluster::start(2, "ended-epochs", &activity);
+    for index in 0..2 {
+        cluster.request_until(index, "GET", "/up", None, |status, _| status == 200);
+    }
+    let first = Some(job("wk-000100", "array", 1));
+    cluster.request_until(0, "POST", "/v2/runs", first, |status, _| status == 201);
+    cluster.request_until(0, "GET", "/v2/runs/wk-000100", None, |_, body| {
+        body["mood"] == "done"
+    });
+    let mut jobs = Vec::new();
+    for number in 0..EPOCHS {
+        let mut epoch = cluster.read_from_store("fw/epoch");
+        epoch["n"] = json!(epoch["n"].as_u64().expect("the number of the epoch") + 1);
+        cluster.write_to_store("fw/epoch", epoch);
+        for index in 0..2 {
+            let id = format!("wk-{:06}", 4 * number + 2 * index + 2);
+            let body = Some(job(&id, "array", 1));
+            cluster.request_until(index as usize, "POST", "/v2/runs", body, |status, body| {
+                assert!(matches!(status, 200 | 201 | 503), "{id}: {status} {body}");
+                status != 503
+            });
+            jobs.push(id);
+        }
+    }
+    for id in &jobs {
+        cluster.request_until(0, "GET", &format!("/v2/runs/{id}"), None, |status, body| {
+            assert_ne!(status, 404, "{id} was accepted");
+            body["mood"] == "done"
+        });
+    }
+    let refused = cluster.ended_epochs.load(Ordering::SeqCst);
+    assert!(refused > 0, "no transaction met the end of its epoch");
+    let ran_twice = &common::cluster::lock(&activity).ran_twice;
+    assert!(ran_twice.is_empty(), "{ran_twice:?}");
+}
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -82,6 +82,8 @@
     pub delay_commits: Arc<AtomicBool>,
     /// The number of transactions that exceeded the limits of the store.
     oversized_transactions: Arc<AtomicU32>,
+    /// The number of transactions that failed as the epoch had changed.
+    pub ended_epochs: Arc<AtomicU32>,
     /// The proxy of each controller to the key-value store.
     store_proxies: Vec<PausableProxy>,
     /// The proxies between controllers, by the index of the client and of the server.
@@ -147,7 +149,12 @@
         let internal_addresses: Vec<SocketAddr> = (0..count).map(|_| free_port()).collect();
         let delay_commits = Arc::new(AtomicBool::new(false));
         let oversized_transactions = Arc::new(AtomicU32::new(0));
-        let store = start_store(delay_commits.clone(), oversized_transactions.clone());
+        let ended_epochs = Arc::new(AtomicU32::new(0));
+        let store = start_store(
+            delay_commits.clone(),
+            oversized_transactions.clone(),
+            ended_epochs.clone(),
+        );
         let store_proxies: Vec<PausableProxy> =
             (0..count).map(|_| PausableProxy::start(store)).collect();
         let peer_proxies: Vec<Vec<PausableProxy>> = (0..count)
@@ -207,6 +214,7 @@
             agent,
             delay_commits,
             oversized_transactions,
+            ended_epochs,
             store_proxies,
             peer_proxies,
             internal_addresses,
@@ -273,6 +281,15 @@
             .expect("a committed transaction");
     }
 
+    /// Reads a key directly from the key-value store, without a controller.
+    pub fn read_from_store(&self, key: &str) -> Value {
+        let url = format!("http://{}/store/{key}", self.store_proxies[0].address);
+        let response = self.agent.get(&url).call().expect("an entry");
+        let text = response.into_string().expect("a body");
+        let entry: Value = serde_json::from_str(&text).expect("JSON");
+        entry["value"].clone()
+    }
+
     /// Returns the response of a controller to an operator's GET request; `Null` if there is
     /// none or it is not JSON.
     pub fn operator_get(&self, index: usize, path: &str) -> Value {
--- a/tests/common/stand_ins/store.rs
+++ b/tests/common/stand_ins/store.rs
@@ -135,13 +135,17 @@
     }
 }
 
+/// The key of the epoch.
+const EPOCH_KEY: &str = "fw/epoch";
+
 /// Starts a key-value store and returns its address. While `delay_commits` is set, every
 /// third transaction times out for its writer but is carried out seconds later, after newer
 /// ones. Transactions that exceed the limits are refused and counted in
-/// `oversized_transactions`.
+/// `oversized_transactions`, and those that fail as the epoch has changed in `ended_epochs`.
 pub fn start_store(
     delay_commits: Arc<AtomicBool>,
     oversized_transactions: Arc<AtomicU32>,
+    ended_epochs: Arc<AtomicU32>,
 ) -> SocketAddr {
     let store: Shared<Store> = Shared::default();
     let commit_count = AtomicU32::new(0);
@@ -200,7 +204,14 @@
                 ),
                 None => (404, json!({"ring": store.revision})),
             },
-            (Method::Post, "/commit") => store.commit(&body),
+            (Method::Post, "/commit") => {
+                let (status, response) = store.commit(&body);
+                let failed = response["failed"].as_array();
+                if failed.is_some_and(|keys| keys.iter().any(|key| key == EPOCH_KEY)) {
+                    ended_epochs.fetch_add(1, Ordering::SeqCst);
+                }
+                (status, response)
+            }
             (Method::Post, "/leases") => {
                 let id = store.leases.keys().last().copied().unwrap_or(0) + 1;
                 let duration = Duration::from_millis(body["life_ms"].as_u64().unwrap_or(1000));
